--- a/include/cinderkeel/controller.h
+++ b/include/graniterun/controller.h
@@ -1,4 +1,4 @@
-// cinderkeel: the decisions of one sender that spreads call set-ups over a few central core servers.
+// graniterun: the decisions of one sender that spreads call set-ups over a few central core servers.
 //
 // One Controller stands for one sender (an edge proxy). It is told what happens, in order and with the time,
 // and answers with what is to be done. It performs no I/O, starts no threads, reads no clock and keeps no
@@ -13,7 +13,7 @@
 #include <variant>
 #include <vector>
 
-namespace cinderkeel {
+namespace graniterun {
 
 // The caller's clock: any origin, never running backwards.
 struct CallerClock {
@@ -226,4 +226,4 @@
   std::unique_ptr<Impl> impl_;
 };
 
-}  // namespace cinderkeel
+}  // namespace graniterun
--- a/src/controller.cpp
+++ b/src/controller.cpp
@@ -1,7 +1,7 @@
-// The decision module of cinderkeel: every decision, table, estimator and tuned constant is here.
-// Its interface - settings, events, actions - is include/cinderkeel/controller.h.
+// The decision module of graniterun: every decision, table, estimator and tuned constant is here.
+// Its interface - settings, events, actions - is include/graniterun/controller.h.
 // What is kept of the published mechanism, what departs from it and when, is told in docs/design.md.
-#include "cinderkeel/controller.h"
+#include "graniterun/controller.h"
 
 #include <algorithm>
 #include <cmath>
@@ -11,7 +11,7 @@
 #include <unordered_map>
 #include <utility>
 
-namespace cinderkeel {
+namespace graniterun {
 namespace {
 
 using namespace std::chrono_literals;
@@ -880,4 +880,4 @@
   impl_->handle(now, event, actions);
 }
 
-}  // namespace cinderkeel
+}  // namespace graniterun
--- a/src/wire.cpp
+++ b/src/wire.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <utility>
 
-namespace cinderkeel::wire {
+namespace graniterun::wire {
 namespace {
 
 // Calls `part` with each piece of `text` between separators.
@@ -426,4 +426,4 @@
   }
 }
 
-}  // namespace cinderkeel::wire
+}  // namespace graniterun::wire
--- a/src/wire.h
+++ b/src/wire.h
@@ -12,9 +12,9 @@
 #include <utility>
 #include <vector>
 
-#include "cinderkeel/controller.h"
+#include "graniterun/controller.h"
 
-namespace cinderkeel::wire {
+namespace graniterun::wire {
 
 // Input that does not keep to the wire's form. Its text is one plain line: line number, field, what is wrong.
 class MalformedInput : public std::runtime_error {
@@ -127,4 +127,4 @@
   std::string reply_;
 };
 
-}  // namespace cinderkeel::wire
+}  // namespace graniterun::wire
--- a/tests/controller_test.cpp
+++ b/tests/controller_test.cpp
@@ -1,11 +1,11 @@
 // The module's decisions, one small test for each, driven by scripted events.
-#include "cinderkeel/controller.h"
+#include "graniterun/controller.h"
 
 #include <gtest/gtest.h>
 
 #include "harness.h"
 
-namespace cinderkeel::test {
+namespace graniterun::test {
 namespace {
 
 TEST(Pick, TakesTheDestinationWhileItIsFreeAndUnthrottled) {
@@ -652,4 +652,4 @@
 }
 
 }  // namespace
-}  // namespace cinderkeel::test
+}  // namespace graniterun::test
--- a/tests/drill_process.sh
+++ b/tests/drill_process.sh
@@ -18,4 +18,4 @@
   echo "malformed input was taken"
   exit 1
 fi
-[ "$trouble" = "cinderkeel_drill: line 2: i is not a number of its type" ] || { echo "unexpected: $trouble"; exit 1; }
+[ "$trouble" = "graniterun_drill: line 2: i is not a number of its type" ] || { echo "unexpected: $trouble"; exit 1; }
--- a/tests/harness.h
+++ b/tests/harness.h
@@ -7,9 +7,9 @@
 #include <optional>
 #include <vector>
 
-#include "cinderkeel/controller.h"
+#include "graniterun/controller.h"
 
-namespace cinderkeel::test {
+namespace graniterun::test {
 
 using namespace std::chrono_literals;
 
@@ -111,4 +111,4 @@
   return first<Kind>(actions).has_value();
 }
 
-}  // namespace cinderkeel::test
+}  // namespace graniterun::test
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -6,10 +6,10 @@
 #include <random>
 #include <set>
 
-#include "cinderkeel/controller.h"
+#include "graniterun/controller.h"
 #include "harness.h"
 
-namespace cinderkeel::test {
+namespace graniterun::test {
 namespace {
 
 constexpr Duration kStep = 5ms;
@@ -273,4 +273,4 @@
 }
 
 }  // namespace
-}  // namespace cinderkeel::test
+}  // namespace graniterun::test
--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -7,7 +7,7 @@
 #include <string>
 #include <vector>
 
-namespace cinderkeel::wire {
+namespace graniterun::wire {
 namespace {
 
 // A start with settings of no particular operator.
@@ -251,4 +251,4 @@
     [](const testing::TestParamInfo<Bad>& test) { return test.param.name; });
 
 }  // namespace
-}  // namespace cinderkeel::wire
+}  // namespace graniterun::wire
