--- a/include/graniterun/controller.h
+++ b/include/graniterun/controller.h
@@ -72,6 +72,7 @@
   bool callers_mark_redials{};
   Duration repeat_after{};  // a waiting set-up is sent again after this, then at doubling gaps; 0: never
   Duration round{};         // events arrive at most this often
+  Duration connect_within{std::chrono::milliseconds(500)};  // a connection not made by then is none
   // The figures of the rules.
   Duration release_guard{};
   Duration drain_grace{};
--- /dev/null
+++ b/src/app/gatekeeper.h
@@ -0,0 +1,54 @@
+// The one reducer: every event of the runtime goes to the sub-reducer of its concern, what those tell the
+// broker goes to the broker, and what the broker asks for goes back to them, until nothing is left but
+// effects.
+#pragma once
+
+#include <functional>
+#include <optional>
+
+#include "app/outbox.h"
+#include "back/journal.h"
+#include "back/setup_servers.h"
+#include "config/config.h"
+#include "core/broker.h"
+#include "front/platform.h"
+
+namespace graniterun {
+
+class Gatekeeper {
+ public:
+  // `more_counters` writes those that are kept elsewhere.
+  Gatekeeper(const PlatformConfig& config, const DeployConfig& deploy,
+             std::function<void(Counters&)> more_counters);
+
+  void step(Time now, const net::Event& event, net::Effects& effects);
+
+ private:
+  void on(Time now, const net::Started& e, Outbox& out);
+  void on(Time now, const net::Accepted& e, Outbox& out);
+  void on(Time now, const net::Connected& e, Outbox& out);
+  void on(Time now, const net::ConnectFailed& e, Outbox& out);
+  void on(Time now, const net::Received& e, Outbox& out);
+  void on(Time now, const net::Closed& e, Outbox& out);
+  void on(Time now, const net::Datagram& e, Outbox& out);
+  void on(Time now, const net::TimerFired& e, Outbox& out);
+  void on(Time now, const net::StopAsked& e, Outbox& out);
+  void on(Time now, const net::CountersAsked& e, Outbox& out);
+
+  void settle(Time now, Outbox& out);
+  void apply(Time now, const core::Effect& effect, Outbox& out);
+  void finish_if_drained(Time now, Outbox& out);
+  std::string counters_text();
+
+  PlatformConfig config_;
+  DeployConfig deploy_;
+  std::function<void(Counters&)> more_counters_;
+  Counters counters_;
+  core::Broker broker_;
+  front::Platform platform_;
+  back::SetupServers servers_;
+  back::Journal journal_;
+  std::optional<Time> stop_asked_{};
+};
+
+}  // namespace graniterun
--- /dev/null
+++ b/src/back/journal.cpp
@@ -0,0 +1,111 @@
+#include "back/journal.h"
+
+#include <charconv>
+#include <nlohmann/json.hpp>
+
+namespace graniterun::back {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr Duration kConnectWithin = 1s;
+constexpr Duration kPause = 200ms;     // before connecting again
+constexpr Duration kSilence = 2500ms;  // a comment comes every second: after so long the connection is dead
+constexpr Duration kLook = 500ms;
+enum Timer : std::uint64_t { kReconnect, kWatch };
+
+}  // namespace
+
+void Journal::start(Time now, Outbox& out) {
+  if (address_.empty()) return;
+  connect(out);
+  out.arm(net::Concern::journal, kWatch, now + kLook);
+}
+
+void Journal::connect(Outbox& out) {
+  head_.reset();
+  body_.reset();
+  text_.clear();
+  open_ = false;
+  out.net.push_back(net::Connect{{net::Concern::journal, ++connections_}, address_, kConnectWithin});
+}
+
+void Journal::again(Time now, Outbox& out) {
+  counters_.add("journal.reconnects");
+  open_ = false;
+  out.arm(net::Concern::journal, kReconnect, now + kPause);
+}
+
+void Journal::drop(Time now, Outbox& out) {
+  out.close({net::Concern::journal, connections_});
+  again(now, out);
+}
+
+void Journal::on(Time now, const net::Connected& e, Outbox& out) {
+  open_ = true;
+  heard_ = now;
+  std::string request = "GET /journal HTTP/1.1\r\nHost: " + address_ + "\r\nAccept: text/event-stream\r\n";
+  request += "Last-Event-ID: " + std::to_string(position_) + "\r\n\r\n";
+  out.send(e.conn, std::move(request));
+}
+
+void Journal::on(Time now, const net::ConnectFailed&, Outbox& out) { again(now, out); }
+
+void Journal::on(Time now, const net::Closed& e, Outbox& out) {
+  if (open_ && e.conn.number == connections_) again(now, out);
+}
+
+void Journal::on(Time now, const net::TimerFired& e, Outbox& out) {
+  if (e.key.number == kReconnect) return connect(out);
+  if (open_ && now - heard_ > kSilence) {  // a cut network gives no sign
+    out.log(net::Level::warning, "the journal service is silent: connecting again");
+    drop(now, out);
+  }
+  out.arm(net::Concern::journal, kWatch, now + kLook);
+}
+
+std::vector<HostList> Journal::on(Time now, const net::Received& e, Outbox& out) {
+  std::vector<HostList> lists;
+  if (!open_ || e.conn.number != connections_) return lists;
+  heard_ = now;
+  std::size_t used = 0;
+  if (!head_) {
+    http::Head head;
+    const http::HeadState state = http::read_head(e.bytes, head);
+    if (state == http::HeadState::more) return lists;
+    if (state == http::HeadState::malformed || head.status != 200) {
+      counters_.add("journal.malformed");
+      out.log(net::Level::warning, "the journal service answers what can't be used");
+      drop(now, out);
+      return lists;
+    }
+    head_ = head;
+    body_.emplace(head);
+    used = head.size;
+  }
+  const auto taken = body_->take(e.bytes.substr(used), text_);
+  if (!taken || text_.size() > http::kEventBound) {
+    counters_.add("journal.malformed");
+    drop(now, out);
+    return lists;
+  }
+  out.net.push_back(net::Consume{e.conn, used + *taken});
+  while (const auto event = http::take_event(text_)) {
+    std::uint64_t position = 0;
+    std::from_chars(event->id.data(), event->id.data() + event->id.size(), position);
+    if (position != 0 && position <= position_) continue;  // told before
+    counters_.add("journal.events");
+    const auto data = nlohmann::json::parse(event->data, nullptr, false);
+    try {
+      if (data.is_object() && data.contains("hosts")) lists.push_back(read_hosts(data["hosts"]));
+      if (position != 0) position_ = position;
+    } catch (const BadConfig& trouble) {
+      counters_.add("journal.malformed");
+      out.log(net::Level::warning, trouble.what());
+    }
+  }
+  if (body_->done()) drop(now, out);
+  return lists;
+}
+
+}  // namespace graniterun::back
--- /dev/null
+++ b/src/back/journal.h
@@ -0,0 +1,43 @@
+// The connection to the journal service: server-sent events that tell how the list of setup servers changes.
+#pragma once
+
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "app/outbox.h"
+#include "config/config.h"
+#include "proto/http.h"
+
+namespace graniterun::back {
+
+class Journal {
+ public:
+  Journal(std::string address, std::uint64_t position, Counters& counters)
+      : address_(std::move(address)), position_(position), counters_(counters) {}
+
+  void start(Time now, Outbox& out);
+  void on(Time now, const net::Connected& e, Outbox& out);
+  void on(Time now, const net::ConnectFailed& e, Outbox& out);
+  // Returns the lists that have come, in order.
+  std::vector<HostList> on(Time now, const net::Received& e, Outbox& out);
+  void on(Time now, const net::Closed& e, Outbox& out);
+  void on(Time now, const net::TimerFired& e, Outbox& out);
+
+ private:
+  void connect(Outbox& out);
+  void again(Time now, Outbox& out);
+  void drop(Time now, Outbox& out);
+
+  std::string address_;
+  std::uint64_t position_;  // of the last event taken
+  Counters& counters_;
+  std::uint32_t connections_ = 0;
+  bool open_ = false;
+  Time heard_{};
+  std::optional<http::Head> head_{};
+  std::optional<http::Body> body_{};
+  std::string text_{};
+};
+
+}  // namespace graniterun::back
--- /dev/null
+++ b/src/back/setup_servers.cpp
@@ -0,0 +1,541 @@
+#include "back/setup_servers.h"
+
+#include <algorithm>
+#include <charconv>
+
+#include "wire.h"
+
+namespace graniterun::back {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr Duration kTick = 50ms;
+constexpr Duration kReconnectPause = 250ms;
+// A server with calls that says nothing for so long is tried on a new connection: a machine that vanished
+// leaves the old one open and silent.
+constexpr Duration kSuspicious = 2s;
+// After so long without a byte and without a connection its calls are taken to be over (8 s are allowed).
+constexpr Duration kVanished = 5s;
+// A process that died refuses at once; a short restart is let pass.
+constexpr Duration kDied = 3s;
+// So long the end of an attempt that was given up is awaited: a success may be on its way.
+constexpr Duration kEndAwaited = 120ms;
+// An attempt that was given up, or a call that was released, is remembered so long for what comes late.
+constexpr Duration kRemembered = 10s;
+
+constexpr int kNormal = 16;
+constexpr int kCut = 41;
+
+int cause_in(std::string_view reason) {
+  const std::string_view text = sip::parameter(reason, "cause");
+  int cause = kNormal;
+  std::from_chars(text.data(), text.data() + text.size(), cause);
+  return cause;
+}
+
+sip::Message request(std::string_view method, const std::string& number, const std::string& label, int cseq,
+                     std::string_view cseq_method = {}) {
+  sip::Message m;
+  m.method = method;
+  m.uri = "sip:" + number + "@net";
+  m.add("Via", "SIP/2.0/TCP graniterun");
+  m.add("Call-ID", label);
+  m.add("CSeq", std::to_string(cseq) + " " + std::string(cseq_method.empty() ? method : cseq_method));
+  return m;
+}
+
+Outcome outcome_of(int status) {
+  switch (status) {
+    case 503:
+      return Outcome::full;
+    case 480:
+      return Outcome::not_sent;
+    case 504:
+      return Outcome::reset;
+    case 487:
+      return Outcome::cancelled;
+    default:
+      return Outcome::busy_or_fault;
+  }
+}
+
+FullReason reason_of(std::string_view word) {
+  if (word == "all_trunks_busy") return FullReason::no_line;
+  if (word == "via_said_no" || word == "far_cpu_full") return FullReason::returned;
+  if (word == "cpu_full") return FullReason::processor;
+  if (word == "number_busy") return FullReason::number_busy;
+  return FullReason::none;
+}
+
+}  // namespace
+
+LoadReport report_of(const sip::Message& m) {
+  LoadReport report;
+  std::string_view rest = m.header("P-Load");
+  while (!rest.empty()) {
+    const std::string_view piece = rest.substr(0, rest.find(';'));
+    rest.remove_prefix(std::min(rest.size(), piece.size() + 1));
+    const std::size_t colon = piece.find(':');
+    if (colon == std::string_view::npos) continue;
+    const std::string_view text = sip::trim(piece.substr(colon + 1));
+    double figure = 0;
+    const auto [stop, error] = std::from_chars(text.data(), text.data() + text.size(), figure);
+    if (error == std::errc{} && stop == text.data() + text.size())
+      wire::note_value(report, sip::trim(piece.substr(0, colon)), figure);
+  }
+  return report;
+}
+
+// ---- the list
+
+void SetupServers::start(Time now, Outbox& out) { out.arm(net::Concern::server, 0, now + kTick); }
+
+void SetupServers::take(Time now, const HostList& list, ListKind kind, Outbox& out) {
+  ServerList told;
+  told.kind = kind;
+  if (kind != ListKind::changes) {
+    for (auto& [id, server] : servers_) server.host.state = ServerState::terminated;
+  }
+  for (const Host& host : list.hosts) {
+    const auto [name, fresh] = ids_.try_emplace(host.uid, ServerId{static_cast<std::uint32_t>(ids_.size())});
+    Server& server = servers_[name->second];
+    server.id = name->second;
+    const bool moved = !fresh && server.host.address != host.address && !host.address.empty();
+    const bool restarted = !fresh && host.started && server.host.started != host.started;
+    const std::string address = host.address.empty() ? server.host.address : host.address;
+    server.host = host;
+    server.host.address = address;
+    if (restarted) end_calls(server, host.started, out);
+    if (moved) server.current.reset();
+    if (host.state == ServerState::in_service) {
+      // A new server may have the address of one that is gone: that one's connections must not be taken for
+      // it.
+      for (auto& [id, other] : servers_) {
+        if (id != server.id && other.host.address == address) other.current.reset();
+      }
+    }
+    ServerEntry entry;
+    entry.server = server.id;
+    const auto area = std::find(areas_.begin(), areas_.end(), host.area);
+    entry.zone = Zone{static_cast<std::uint32_t>(area - areas_.begin())};
+    entry.pool = host.pool;
+    entry.state = host.state;
+    entry.weight = host.weight;
+    entry.online_since = host.started;
+    told.entries.push_back(entry);
+  }
+  out.tell(core::ServersChanged{std::move(told)});
+  for (auto& [id, server] : servers_) {
+    if (server.host.state == ServerState::terminated) {
+      end_calls(server, {}, out);
+      server.current.reset();
+    } else {
+      look_after(now, server, out);
+    }
+  }
+}
+
+bool SetupServers::ready() const {
+  bool any = false;
+  for (const auto& [id, server] : servers_) {
+    if (server.host.state != ServerState::in_service) continue;
+    if (!server.tried) return false;
+    any = any || server.current;
+  }
+  return any;
+}
+
+const std::string& SetupServers::name_of(ServerId server) const {
+  static const std::string kUnknown = "unknown";
+  const auto it = servers_.find(server);
+  return it == servers_.end() ? kUnknown : it->second.host.uid;
+}
+
+// ---- connections
+
+void SetupServers::connect(Time now, Server& server, Outbox& out) {
+  const std::uint32_t number = ++last_connection_;
+  server.connecting = number;
+  server.next_connect = now + kReconnectPause;
+  connections_[number] = {server.id, false, now, now};
+  counters_.add("servers.connects");
+  out.net.push_back(net::Connect{{net::Concern::server, number}, server.host.address, connect_within_});
+}
+
+void SetupServers::on(Time now, const net::Connected& e, Outbox& out) {
+  const auto it = connections_.find(e.conn.number);
+  if (it == connections_.end()) return;
+  it->second.up = true;
+  it->second.heard = now;
+  Server* server = find(it->second.server);
+  if (server == nullptr || server->host.state == ServerState::terminated)
+    return let_go(e.conn.number, false, out);
+  server->tried = true;
+  server->connecting.reset();
+  server->current = e.conn.number;
+  server->unreachable_since.reset();
+  server->lost_at.reset();
+  server->heard = now;
+  for (auto& [key, leg] : legs_) {
+    if (leg.server == server->id && leg.state == LegState::queued) send_invite(now, *server, leg, out);
+  }
+}
+
+void SetupServers::on(Time now, const net::ConnectFailed& e, Outbox& out) {
+  const auto it = connections_.find(e.conn.number);
+  if (it == connections_.end()) return;
+  counters_.add(e.refused ? "servers.connects_refused" : "servers.connects_timed_out");
+  Server* server = find(it->second.server);
+  connections_.erase(it);
+  if (server == nullptr) return;
+  server->tried = true;
+  server->connecting.reset();
+  server->refused = e.refused;
+  if (!server->unreachable_since) server->unreachable_since = now;
+  for (auto leg = legs_.begin(); leg != legs_.end();) {
+    const auto next = std::next(leg);
+    if (leg->second.server == server->id && leg->second.state == LegState::queued) {
+      core::AttemptOver ended;
+      ended.outcome = Outcome::no_connection;
+      over(leg, ended, out);
+      legs_.erase(leg);
+    }
+    leg = next;
+  }
+}
+
+void SetupServers::on(Time now, const net::Closed& e, Outbox& out) {
+  const auto it = connections_.find(e.conn.number);
+  if (it == connections_.end()) return;
+  counters_.add("servers.connections_lost");
+  Server* server = find(it->second.server);
+  let_go(e.conn.number, true, out);
+  if (server == nullptr) return;
+  if (!server->current) {
+    const bool any = std::any_of(connections_.begin(), connections_.end(),
+                                 [&](const auto& c) { return c.second.server == server->id && c.second.up; });
+    if (!any && !server->lost_at) server->lost_at = now;
+  }
+  look_after(now, *server, out);
+}
+
+// The connection is gone or is to go: its unanswered set-ups are given up by that.
+void SetupServers::let_go(std::uint32_t conn, bool closed, Outbox& out) {
+  if (!closed) out.close({net::Concern::server, conn});
+  const auto it = connections_.find(conn);
+  if (it == connections_.end()) return;
+  if (Server* server = find(it->second.server)) {
+    if (server->current == conn) server->current.reset();
+    if (server->connecting == conn) server->connecting.reset();
+  }
+  connections_.erase(it);
+  for (auto leg = legs_.begin(); leg != legs_.end();) {
+    const auto next = std::next(leg);
+    if (leg->second.conn == conn &&
+        (leg->second.state == LegState::sent || leg->second.state == LegState::abandoned)) {
+      core::AttemptOver ended;
+      ended.outcome = leg->second.state == LegState::sent ? Outcome::reset : Outcome::cancelled;
+      over(leg, ended, out);
+      legs_.erase(leg);
+    }
+    leg = next;
+  }
+}
+
+bool SetupServers::has_unanswered(std::uint32_t conn) const {
+  return std::any_of(legs_.begin(), legs_.end(), [conn](const auto& l) {
+    return l.second.conn == conn &&
+           (l.second.state == LegState::sent || l.second.state == LegState::abandoned);
+  });
+}
+
+// Keeps a server in reach, and finds out that it has vanished or died.
+void SetupServers::look_after(Time now, Server& server, Outbox& out) {
+  if (server.host.state == ServerState::terminated) return;
+  const bool has_calls =
+      std::any_of(legs_.begin(), legs_.end(), [&](const auto& l) { return l.second.server == server.id; });
+  const bool silent = has_calls && now - server.heard > kSuspicious;
+  const bool wanted = server.host.state == ServerState::in_service || has_calls;
+  if (wanted && !server.connecting && now >= server.next_connect && (!server.current || silent)) {
+    // A server alive that has nothing to say is asked rarely.
+    if (server.current) server.next_connect = now + kSuspicious;
+    connect(now, server, out);
+    if (server.current) server.next_connect = now + kSuspicious / 2;
+  }
+  if (has_calls && server.unreachable_since) {
+    const Duration unreachable = now - *server.unreachable_since;
+    const bool vanished = now - server.heard > kVanished && unreachable > kSuspicious;
+    const bool died = server.lost_at && server.refused && now - *server.lost_at > kDied;
+    if (vanished || died) {
+      counters_.add(died ? "servers.died" : "servers.vanished");
+      out.log(net::Level::warning, "setup server " + server.host.uid + (died ? " died" : " vanished") +
+                                       ": its standing calls are over");
+      end_calls(server, {}, out);
+      server.heard = now;
+      server.lost_at.reset();
+    }
+  }
+}
+
+void SetupServers::on(Time now, const net::TimerFired&, Outbox& out) {
+  out.arm(net::Concern::server, 0, now + kTick);
+  for (auto& [id, server] : servers_) look_after(now, server, out);
+  for (auto leg = legs_.begin(); leg != legs_.end();) {
+    const auto next = std::next(leg);
+    Leg& l = leg->second;
+    if (l.state == LegState::abandoned && now - l.since > kEndAwaited) {
+      core::AttemptOver ended;
+      ended.outcome = Outcome::cancelled;
+      over(leg, ended, out);
+      l.state = LegState::released;
+    } else if (l.state == LegState::released && now - l.since > kRemembered) {
+      legs_.erase(leg);
+    }
+    leg = next;
+  }
+  // Connections that are not the server's current one go once nothing is awaited on them.
+  std::vector<std::uint32_t> idle;
+  for (const auto& [number, c] : connections_) {
+    Server* server = find(c.server);
+    if (!c.up || (server != nullptr && server->current == number)) continue;
+    if (!has_unanswered(number)) idle.push_back(number);
+  }
+  for (const std::uint32_t number : idle) let_go(number, false, out);
+}
+
+// Standing calls that a server can have no more: all of them, or those that stood before it started anew.
+void SetupServers::end_calls(Server& server, std::optional<Time> stood_before, Outbox& out) {
+  for (auto leg = legs_.begin(); leg != legs_.end();) {
+    const auto next = std::next(leg);
+    const Leg& l = leg->second;
+    if (l.server == server.id && l.state == LegState::stands && (!stood_before || l.since < *stood_before)) {
+      core::AttemptOver ended;
+      ended.outcome = Outcome::reset;
+      ended.cause = kCut;
+      over(leg, ended, out);
+      legs_.erase(leg);
+    }
+    leg = next;
+  }
+}
+
+// ---- the broker's effects
+
+void SetupServers::apply(Time now, const core::StartAttempt& e, Outbox& out) {
+  Server* server = find(e.server);
+  if (server == nullptr) return;
+  Leg leg{e.request, e.attempt, e.server, 0, LegState::queued, e.give_up_at, now};
+  const auto [it, fresh] = legs_.insert_or_assign({e.request->label, e.attempt}, std::move(leg));
+  if (server->current) return send_invite(now, *server, it->second, out);
+  if (!server->connecting) connect(now, *server, out);
+}
+
+void SetupServers::send_invite(Time now, Server& server, Leg& leg, Outbox& out) {
+  // It may have begun to drain while the connection was made.
+  if (server.host.state != ServerState::in_service || now >= leg.give_up_at) {
+    const auto it = legs_.find({leg.request->label, leg.attempt});
+    core::AttemptOver ended;
+    ended.outcome = Outcome::not_sent;
+    over(it, ended, out);
+    leg.state = LegState::released;
+    leg.since = now;
+    return;
+  }
+  leg.conn = *server.current;
+  leg.state = LegState::sent;
+  leg.since = now;
+  const core::Request& r = *leg.request;
+  sip::Message m = request("INVITE", r.number_text, r.label, leg.attempt + 1);
+  m.add("Priority-Class", r.class_name);
+  const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(leg.give_up_at - now).count();
+  m.add("Expires-Ms", std::to_string(std::max<std::int64_t>(1, left)));
+  m.body = r.description;
+  counters_.add("servers.invites");
+  out.send({net::Concern::server, leg.conn}, m.text());
+}
+
+void SetupServers::apply(Time now, const core::AbandonAttempt& e, Outbox& out) {
+  for (auto it = legs_.begin(); it != legs_.end(); ++it) {
+    Leg& leg = it->second;
+    if (leg.request->call != e.call || leg.attempt != e.attempt) continue;
+    if (leg.state == LegState::queued) {
+      core::AttemptOver ended;
+      ended.outcome = Outcome::not_sent;
+      over(it, ended, out);
+      legs_.erase(it);
+    } else if (leg.state == LegState::sent) {
+      leg.state = LegState::abandoned;
+      leg.since = now;
+      counters_.add("servers.cancels");
+      send(leg, request("CANCEL", leg.request->number_text, leg.request->label, leg.attempt + 1), out);
+    }
+    return;
+  }
+}
+
+void SetupServers::apply(Time now, const core::ReleaseServer& e, Outbox& out) {
+  for (auto& [key, leg] : legs_) {
+    if (leg.request->call != e.call || leg.state != LegState::stands) continue;
+    sip::Message m = request("BYE", leg.request->number_text, leg.request->label, leg.attempt + 2);
+    m.add("Reason", "Q.850;cause=" + std::to_string(e.cause));
+    counters_.add("servers.byes_out");
+    send(leg, m, out);
+    leg.state = LegState::released;
+    leg.since = now;
+    return;
+  }
+}
+
+// On the leg's own connection, or the server's current one.
+void SetupServers::send(Leg& leg, const sip::Message& m, Outbox& out) {
+  if (!connections_.contains(leg.conn)) {
+    const Server* server = find(leg.server);
+    if (server == nullptr || !server->current) return;
+    leg.conn = *server->current;
+  }
+  out.send({net::Concern::server, leg.conn}, m.text());
+}
+
+// ---- what servers send
+
+std::vector<StrayRelease> SetupServers::on(Time now, const net::Received& e, Outbox& out) {
+  std::vector<StrayRelease> strays;
+  std::size_t used = 0;
+  while (used < e.bytes.size()) {
+    const auto it = connections_.find(e.conn.number);
+    if (it == connections_.end()) return strays;
+    it->second.heard = now;
+    if (Server* server = find(it->second.server)) {
+      server->heard = now;
+      server->unreachable_since.reset();
+    }
+    const sip::ReadResult read = sip::read_stream(e.bytes.substr(used));
+    used += read.used;
+    if (read.state == sip::ReadState::more) break;
+    if (read.state == sip::ReadState::malformed) {
+      counters_.add("servers.malformed");
+      out.log(net::Level::warning, "a setup server's message is refused: " + read.trouble);
+      if (!read.lost) continue;
+      let_go(e.conn.number, false, out);
+      return strays;
+    }
+    if (read.message.is_request()) {
+      requested(now, e.conn, it->second, read.message, out, strays);
+    } else {
+      answered(now, it->second, read.message, out);
+    }
+  }
+  out.net.push_back(net::Consume{e.conn, used});
+  return strays;
+}
+
+// The latest attempt of the call at this server; the one that CSeq names where it names one.
+SetupServers::Legs::iterator SetupServers::leg_of(const Connection& c, const sip::Message& m) {
+  const std::string label(m.header("Call-ID"));
+  const auto cseq = sip::cseq_of(m);
+  auto found = legs_.end();
+  for (auto it = legs_.lower_bound({label, 0}); it != legs_.end() && it->first.first == label; ++it) {
+    if (it->second.server != c.server) continue;
+    found = it;
+    if (!m.is_request() && cseq && static_cast<int>(cseq->number) == it->second.attempt + 1) break;
+  }
+  return found;
+}
+
+void SetupServers::answered(Time now, const Connection& c, const sip::Message& m, Outbox& out) {
+  const LoadReport report = report_of(m);
+  const auto cseq = sip::cseq_of(m);
+  if (!cseq || cseq->method != "INVITE" || m.status < 200) {
+    if (cseq && cseq->method == "OPTIONS") out.tell(core::ReportHeard{c.server, report});
+    return;
+  }
+  const auto it = leg_of(c, m);
+  if (it == legs_.end()) {
+    counters_.add("servers.answers_unknown");
+    return;
+  }
+  Leg& leg = it->second;
+  const int cseq_number = leg.attempt + 1;
+  send(leg, request("ACK", leg.request->number_text, leg.request->label, cseq_number), out);
+  core::AttemptOver ended;
+  ended.report = report;
+  if (m.status < 300) {
+    counters_.add("servers.answers");
+    if (leg.state == LegState::sent) {
+      leg.state = LegState::stands;
+      leg.since = now;
+      out.tell(core::ReportHeard{leg.server, report});
+      out.tell(core::AttemptStood{leg.request->call, leg.attempt, m.body});
+    } else if (leg.state == LegState::abandoned || leg.state == LegState::released) {
+      // The success crossed our CANCEL: the call must not go on at the server.
+      counters_.add("servers.crossed");
+      sip::Message bye = request("BYE", leg.request->number_text, leg.request->label, cseq_number + 1);
+      bye.add("Reason", "Q.850;cause=16");
+      send(leg, bye, out);
+      if (leg.state == LegState::abandoned) {
+        ended.outcome = Outcome::cancelled;
+        ended.crossed = true;
+        over(it, ended, out);
+      }
+      leg.state = LegState::released;
+      leg.since = now;
+    }
+    return;
+  }
+  counters_.add("servers.refusals." + std::to_string(m.status));
+  if (leg.state == LegState::sent || leg.state == LegState::abandoned) {
+    ended.outcome = leg.state == LegState::abandoned ? Outcome::cancelled : outcome_of(m.status);
+    ended.reason = reason_of(m.header("Warning-Word"));
+    over(it, ended, out);
+  }
+  if (leg.state != LegState::stands) legs_.erase(it);
+}
+
+void SetupServers::requested(Time now, net::ConnId conn, const Connection& c, const sip::Message& m,
+                             Outbox& out, std::vector<StrayRelease>& strays) {
+  if (m.method == "NOTIFY") {
+    counters_.add("servers.notifies");
+    out.tell(core::ReportHeard{c.server, report_of(m)});
+    return;
+  }
+  if (m.method == "ACK" || m.method == "CANCEL") return;
+  sip::Message answer;
+  answer.status = m.method == "BYE" || m.method == "OPTIONS" ? 200 : 501;
+  answer.phrase = answer.status == 200 ? "OK" : "Not Implemented";
+  for (const std::string_view via : m.all("Via")) answer.add("Via", std::string(via));
+  answer.add("Call-ID", std::string(m.header("Call-ID")));
+  answer.add("CSeq", std::string(m.header("CSeq")));
+  out.send(conn, answer.text());
+  if (m.method != "BYE") return;
+  counters_.add("servers.byes_in");
+  const int cause = cause_in(m.header("Reason"));
+  const LoadReport report = report_of(m);
+  const auto it = leg_of(c, m);
+  if (it == legs_.end()) {
+    strays.push_back({std::string(m.header("Call-ID")), cause});
+    return;
+  }
+  Leg& leg = it->second;
+  if (leg.state != LegState::stands) return;
+  core::AttemptOver ended;
+  ended.outcome = cause == kNormal ? Outcome::ok : Outcome::reset;
+  ended.cause = cause;
+  ended.report = report;
+  over(it, ended, out);
+  leg.state = LegState::released;  // its release may come again on another connection
+  leg.since = now;
+}
+
+void SetupServers::over(Legs::iterator leg, core::AttemptOver ended, Outbox& out) {
+  ended.call = leg->second.request->call;
+  ended.attempt = leg->second.attempt;
+  out.tell(std::move(ended));
+}
+
+SetupServers::Server* SetupServers::find(ServerId id) {
+  const auto it = servers_.find(id);
+  return it == servers_.end() ? nullptr : &it->second;
+}
+
+}  // namespace graniterun::back
--- /dev/null
+++ b/src/back/setup_servers.h
@@ -0,0 +1,106 @@
+// The connections to the setup servers of the platform: attempts out as SIP over TCP, their ends and the
+// servers' reports in. A sub-reducer: the runtime connects, sends and closes for it.
+#pragma once
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "app/outbox.h"
+#include "config/config.h"
+#include "core/counters.h"
+#include "proto/sip.h"
+
+namespace graniterun::back {
+
+// A call that a server released and that is not known here.
+struct StrayRelease {
+  std::string label{};
+  int cause{};
+};
+
+class SetupServers {
+ public:
+  SetupServers(const Settings& settings, std::vector<std::string> areas, Counters& counters)
+      : connect_within_(settings.connect_within), areas_(std::move(areas)), counters_(counters) {}
+
+  void start(Time now, Outbox& out);
+  // News of the list. Tells the broker of it, under the ids that servers have here.
+  void take(Time now, const HostList& list, ListKind kind, Outbox& out);
+
+  void on(Time now, const net::Connected& e, Outbox& out);
+  void on(Time now, const net::ConnectFailed& e, Outbox& out);
+  std::vector<StrayRelease> on(Time now, const net::Received& e, Outbox& out);
+  void on(Time now, const net::Closed& e, Outbox& out);
+  void on(Time now, const net::TimerFired& e, Outbox& out);
+
+  void apply(Time now, const core::StartAttempt& e, Outbox& out);
+  void apply(Time now, const core::AbandonAttempt& e, Outbox& out);
+  void apply(Time now, const core::ReleaseServer& e, Outbox& out);
+
+  // Every server in service has been reached or tried.
+  bool ready() const;
+  const std::string& name_of(ServerId server) const;
+
+ private:
+  enum class LegState : std::uint8_t { queued, sent, abandoned, stands, released };
+  struct Leg {
+    std::shared_ptr<const core::Request> request;
+    int attempt{};
+    ServerId server{};
+    std::uint32_t conn{};
+    LegState state{};
+    Time give_up_at{};
+    Time since{};  // of the state
+  };
+  using LegKey = std::pair<std::string, int>;  // label, attempt
+  using Legs = std::map<LegKey, Leg>;
+
+  struct Connection {
+    ServerId server{};
+    bool up = false;
+    Time heard{};
+    Time began{};
+  };
+  struct Server {
+    Host host;
+    ServerId id{};
+    std::optional<std::uint32_t> current{};     // new set-ups go there
+    std::optional<std::uint32_t> connecting{};  // at most one at a time
+    bool tried = false;
+    Time heard{};                             // the last byte on any connection
+    std::optional<Time> unreachable_since{};  // connects have failed one after the other since
+    bool refused = false;                     // the last one was refused
+    std::optional<Time> lost_at{};            // all connections broke, none has come up since
+    Time next_connect{};
+  };
+
+  Server* find(ServerId id);
+  void connect(Time now, Server& server, Outbox& out);
+  void send_invite(Time now, Server& server, Leg& leg, Outbox& out);
+  void look_after(Time now, Server& server, Outbox& out);
+  void answered(Time now, const Connection& c, const sip::Message& m, Outbox& out);
+  void requested(Time now, net::ConnId conn, const Connection& c, const sip::Message& m, Outbox& out,
+                 std::vector<StrayRelease>& strays);
+  void over(Legs::iterator leg, core::AttemptOver over, Outbox& out);
+  void end_calls(Server& server, std::optional<Time> stood_before, Outbox& out);
+  void let_go(std::uint32_t conn, bool closed, Outbox& out);
+  bool has_unanswered(std::uint32_t conn) const;
+  Legs::iterator leg_of(const Connection& c, const sip::Message& m);
+  void send(Leg& leg, const sip::Message& m, Outbox& out);
+
+  Duration connect_within_;
+  std::vector<std::string> areas_;
+  Counters& counters_;
+  std::map<std::string, ServerId> ids_;  // by uid
+  std::map<ServerId, Server> servers_;
+  std::map<std::uint32_t, Connection> connections_;
+  Legs legs_;
+  std::uint32_t last_connection_ = 0;
+};
+
+// What a server tells of itself in P-Load.
+LoadReport report_of(const sip::Message& m);
+
+}  // namespace graniterun::back
--- /dev/null
+++ b/src/config/config.cpp
@@ -0,0 +1,180 @@
+#include "config/config.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+#include "proto/jsonl.h"
+#include "wire.h"
+
+namespace graniterun {
+namespace {
+
+using nlohmann::json;
+
+const json& need(const json& object, std::string_view name) {
+  const auto it = object.find(std::string(name));
+  if (it == object.end()) throw BadConfig("the configuration has no '" + std::string(name) + "'");
+  return *it;
+}
+
+std::string text(const json& object, std::string_view name) {
+  const json& value = need(object, name);
+  if (!value.is_string()) throw BadConfig("'" + std::string(name) + "' is not text");
+  return value;
+}
+
+double number(const json& value, std::string_view name) {
+  if (!value.is_number()) throw BadConfig("'" + std::string(name) + "' is not a number");
+  return value.get<double>();
+}
+
+json parse(std::string_view source, std::string_view what) {
+  json parsed = json::parse(source, nullptr, false);
+  if (parsed.is_discarded() || !parsed.is_object())
+    throw BadConfig(std::string(what) + " is not a JSON object");
+  return parsed;
+}
+
+std::string plain(const json& value) {
+  if (!value.is_string()) return value.is_boolean() ? (value.get<bool>() ? "true" : "false") : value.dump();
+  std::string out = value;
+  std::replace_if(
+      out.begin(), out.end(), [](char c) { return c == ' ' || c == ',' || c == '\t' || c == '\n'; }, '_');
+  return out;
+}
+
+// The settings as path=value pairs, the form in which the simulator tells them.
+void flatten(const json& value, const std::string& path, std::string& out) {
+  if (value.is_null()) return;
+  if (value.is_object()) {
+    for (const auto& [name, part] : value.items())
+      flatten(part, path.empty() ? name : path + "." + name, out);
+    return;
+  }
+  std::string flat;
+  if (value.is_array()) {
+    const bool nested =
+        std::any_of(value.begin(), value.end(), [](const json& part) { return part.is_structured(); });
+    if (nested) {
+      out.append("\t").append(path).append(".count=").append(std::to_string(value.size()));
+      for (std::size_t i = 0; i < value.size(); ++i) flatten(value[i], path + "." + std::to_string(i), out);
+      return;
+    }
+    for (const json& part : value) flat.append(flat.empty() ? "" : ",").append(plain(part));
+  } else {
+    flat = plain(value);
+  }
+  out.append("\t").append(path).append("=").append(flat);
+}
+
+}  // namespace
+
+HostList read_hosts(const json& list) {
+  try {
+    HostList result;
+    if (!list.is_object() || !list.contains("targets")) throw BadConfig("a list of servers has no 'targets'");
+    result.whole = list.value("all", false);
+    for (const json& target : list.at("targets")) {
+      Host host;
+      host.uid = text(target, "uid");
+      host.address = target.value("endpoint", std::string());
+      host.area = target.value("az", std::string());
+      host.pool = Pool{target.value("pod_group", std::int64_t{-1})};
+      const std::string state = text(target, "state");
+      host.state = state == "ready"      ? ServerState::in_service
+                   : state == "draining" ? ServerState::terminating
+                                         : ServerState::terminated;
+      host.weight = target.value("capacity_hint", 1.0);
+      if (const auto ms = target.value("boot_ms", std::int64_t{0}); ms > 0)
+        host.started = Time(std::chrono::milliseconds(ms));
+      result.hosts.push_back(std::move(host));
+    }
+    return result;
+  } catch (const json::exception& trouble) {
+    throw BadConfig(std::string("a list of servers is malformed: ") + trouble.what());
+  }
+}
+
+PlatformConfig read_platform_config(std::string_view source) {
+  const json whole = parse(source, "the configuration");
+  try {
+    PlatformConfig c;
+    c.name = whole.value("name", std::string("graniterun"));
+    c.listen = text(whole, "listen");
+    c.journal = whole.value("journal", std::string());
+    const json& seed = need(whole, "seed");
+    const auto seed_number =
+        seed.is_string() ? jsonl::number_of_hex(seed.get_ref<const std::string&>())
+                         : std::optional<std::uint64_t>(static_cast<std::uint64_t>(number(seed, "seed")));
+    if (!seed_number) throw BadConfig("'seed' is not hex digits");
+    c.seed = *seed_number;
+    if (whole.contains("limits")) c.sockets = whole["limits"].value("sockets", c.sockets);
+
+    const json& settings = need(whole, "settings");
+    if (!settings.is_object()) throw BadConfig("'settings' is not an object");
+    std::string flat = "SETTINGS";
+    flatten(settings, {}, flat);
+    c.settings = wire::parse_settings(wire::Message(flat, 1));
+    if (settings.contains("areas")) c.areas = settings["areas"].get<std::vector<std::string>>();
+    for (const json& one : need(settings, "classes")) c.class_names.push_back(text(one, "name"));
+
+    if (whole.contains("known")) {
+      const json& known = whole["known"];
+      c.known_position = known.value("pos", std::uint64_t{0});
+      for (const json& event : known.value("entries", json::array())) {
+        if (event.contains("hosts")) c.known.push_back(read_hosts(event["hosts"]));
+      }
+    }
+    return c;
+  } catch (const json::exception& trouble) {
+    throw BadConfig(std::string("the configuration is malformed: ") + trouble.what());
+  } catch (const wire::MalformedInput& trouble) {
+    throw BadConfig(std::string("the settings are malformed: ") + trouble.what());
+  }
+}
+
+DeployConfig read_deploy_config(std::string_view source, const std::vector<std::string>& class_names) {
+  const json whole = parse(source, "the deploy file");
+  try {
+    DeployConfig c;
+    if (whole.contains("sip")) {
+      const json& sip = whole["sip"];
+      if (sip.contains("udp")) c.sip_udp = text(sip, "udp");
+      if (sip.contains("tcp")) c.sip_tcp = text(sip, "tcp");
+      c.sip_domain = sip.value("domain", c.sip_domain);
+      c.sip_server_transport = sip.value("servers", c.sip_server_transport);
+      const std::string& t = c.sip_server_transport;
+      if (t != "platform" && t != "udp" && t != "tcp")
+        throw BadConfig("'servers' is not one of platform, udp, tcp");
+      if (t == "udp" && !c.sip_udp) throw BadConfig("'servers' is udp but there is no 'udp' to send from");
+    }
+    for (const json& one : whole.value("contracts", json::array())) {
+      core::Contract contract;
+      contract.team = one.value("team", std::string());
+      if (one.contains("class")) {
+        const std::string name = text(one, "class");
+        const auto it = std::find(class_names.begin(), class_names.end(), name);
+        if (it == class_names.end()) throw BadConfig("a contract names the unknown class '" + name + "'");
+        contract.call_class = static_cast<ClassIndex>(it - class_names.begin());
+      }
+      if (one.contains("deadline_ms"))
+        contract.deadline = std::chrono::milliseconds(one["deadline_ms"].get<std::int64_t>());
+      if (one.contains("attempts")) contract.attempts = one["attempts"].get<int>();
+      if (one.contains("per_second")) contract.per_second = number(one["per_second"], "per_second");
+      contract.burst = one.value("burst", std::max(1.0, contract.per_second.value_or(1.0)));
+      c.contracts.push_back(std::move(contract));
+    }
+    if (whole.contains("otlp")) {
+      const json& otlp = whole["otlp"];
+      c.collector = text(otlp, "collector");
+      c.collector_host = otlp.value("host", *c.collector);
+      c.export_every = std::chrono::milliseconds(otlp.value("every_ms", std::int64_t{5000}));
+      if (c.export_every <= Duration{}) throw BadConfig("'every_ms' is not above 0");
+    }
+    return c;
+  } catch (const json::exception& trouble) {
+    throw BadConfig(std::string("the deploy file is malformed: ") + trouble.what());
+  }
+}
+
+}  // namespace graniterun
--- /dev/null
+++ b/src/config/config.h
@@ -0,0 +1,67 @@
+// What the program is told at its start: the platform's configuration, and the deploy file of the other
+// front.
+#pragma once
+
+#include <nlohmann/json_fwd.hpp>
+#include <optional>
+#include <stdexcept>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "core/contracts.h"
+#include "graniterun/controller.h"
+
+namespace graniterun {
+
+// Its text is one plain line.
+class BadConfig : public std::runtime_error {
+ public:
+  using std::runtime_error::runtime_error;
+};
+
+// A setup server as the journal service tells of it.
+struct Host {
+  std::string uid{};
+  std::string address{};
+  std::string area{};
+  Pool pool{};
+  ServerState state{};
+  double weight{1.0};
+  std::optional<Time> started{};
+};
+struct HostList {
+  bool whole{};
+  std::vector<Host> hosts{};
+};
+// Throws BadConfig.
+HostList read_hosts(const nlohmann::json& list);
+
+struct PlatformConfig {
+  std::string name{};
+  std::string listen{};
+  std::string journal{};  // empty: none
+  std::uint64_t seed{};
+  std::size_t sockets{1024};
+  std::uint64_t known_position{};
+  std::vector<HostList> known{};
+  std::vector<std::string> areas{};
+  std::vector<std::string> class_names{};
+  Settings settings{};
+};
+PlatformConfig read_platform_config(std::string_view text);  // throws BadConfig
+
+struct DeployConfig {
+  std::optional<std::string> sip_udp{};  // where SIP is listened for
+  std::optional<std::string> sip_tcp{};
+  std::string sip_server_transport{"platform"};  // how setup servers are spoken to: platform, udp or tcp
+  std::string sip_domain{"graniterun.invalid"};
+  std::vector<core::Contract> contracts{};
+  std::optional<std::string> collector{};  // OTLP over HTTP
+  std::string collector_host{};
+  Duration export_every{std::chrono::seconds(5)};
+};
+// Throws BadConfig. Class names are those of the platform's configuration.
+DeployConfig read_deploy_config(std::string_view text, const std::vector<std::string>& class_names);
+
+}  // namespace graniterun
--- /dev/null
+++ b/src/core/broker.cpp
@@ -0,0 +1,382 @@
+#include "core/broker.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace graniterun::core {
+namespace {
+
+using namespace std::chrono_literals;
+
+// On top of the release guard: its time runs from when the other side has heard of the end.
+constexpr Duration kGuardMargin = 30ms;
+// Sends that a cold server may have in a window from one gatekeeper, however little is known of it.
+constexpr double kColdLeast = 4.0;
+// Advice to a caller whose request came to nothing, where the module gives none.
+constexpr Duration kStayAway = 500ms;
+
+bool leaves_traces(Outcome outcome) {
+  return outcome == Outcome::timed_out || outcome == Outcome::reset || outcome == Outcome::cancelled;
+}
+
+}  // namespace
+
+Broker::Broker(Settings settings, std::uint64_t seed, Contracts contracts, Counters& counters)
+    : settings_(settings),
+      contracts_(std::move(contracts)),
+      counters_(counters),
+      controller_(std::move(settings), seed) {}
+
+void Broker::step(Time now, const Event& event, Effects& effects) {
+  now_ = std::max(now, now_);
+  effects_ = &effects;
+  std::visit([this](const auto& e) { on(e); }, event);
+  settle_module();
+  effects_ = nullptr;
+}
+
+// ---- callers
+
+void Broker::on(const RequestCame& e) {
+  if (calls_.contains(e.request.call)) return;
+  counters_.add("broker.requests");
+  Call& call = calls_[e.request.call];
+  call.request = std::make_shared<const Request>(e.request);
+  call.came = now_;
+  call.deadline = e.request.deadline;
+  call.most_attempts = settings_.max_attempts;
+  ++unanswered_;
+  const Contracts::Terms terms = contracts_.admit(now_, e.request.team, e.request.call_class);
+  if (terms.deadline) call.deadline = std::min(call.deadline, now_ + *terms.deadline);
+  if (terms.attempts) call.most_attempts = std::min(call.most_attempts, *terms.attempts);
+  if (terms.over_budget) {
+    counters_.add("broker.over_budget");
+    answer(call, false, true, Why::over_budget, *terms.over_budget, {});
+    return forget_if_over(e.request.call);
+  }
+  if (call.deadline <= now_) {
+    answer(call, false, false, Why::overdue, kStayAway, {});
+    return forget_if_over(e.request.call);
+  }
+  alarm(call.deadline, {Alarm::Kind::deadline, e.request.call, {}});
+  NewCall query;
+  query.call = e.request.call;
+  query.call_class = e.request.call_class;
+  query.number = e.request.number;
+  query.destination = e.request.destination;
+  query.deadline = call.deadline;
+  query.lines = e.request.lines;
+  query.cut_before = e.request.cut_before;
+  query.redial = e.request.redial;
+  tell_module(query);
+}
+
+void Broker::on(const CallerGaveUp& e) {
+  Call* call = find(e.call);
+  if (call == nullptr || call->answered) return;
+  counters_.add("broker.given_up");
+  call->answered = true;
+  --unanswered_;
+  tell_module(CallerLeft{e.call});
+  settle_module();
+  // Whether the module thinks of it or not: nothing is to go on for a caller that has left.
+  if (call = find(e.call); call != nullptr && call->out) give_up_attempt(*call);
+  settle_module();
+  forget_if_over(e.call);
+}
+
+void Broker::on(const CallerReleased& e) {
+  Call* call = find(e.call);
+  if (call == nullptr) return;
+  if (!call->out || !call->out->stands) return on(CallerGaveUp{e.call});
+  counters_.add("broker.released_by_caller");
+  emit(ReleaseServer{e.call, e.cause});
+  on(AttemptOver{e.call, call->out->index, Outcome::cancelled, {}, {}, e.cause, false});
+}
+
+// ---- servers
+
+void Broker::on(const AttemptStood& e) {
+  Call* call = find(e.call);
+  if (call == nullptr || !call->out || call->out->index != e.attempt || call->out->stands) return;
+  if (call->answered || call->out->abandoned) {
+    // Nobody waits for it any more: it must not go on at the server.
+    counters_.add("broker.stood_too_late");
+    call->out->abandoned = true;
+    emit(ReleaseServer{e.call, 16});
+    return on(AttemptOver{e.call, e.attempt, Outcome::cancelled, {}, {}, 16, true});
+  }
+  call->out->stands = true;
+  ++standing_;
+  const ServerId server = call->out->server;
+  const Duration delay = now_ - call->out->sent_at;
+  record(*call, {});
+  answer(*call, true, false, Why::ended, {}, e.description);
+  tell_module(CallStands{e.call, e.attempt, server, delay});
+}
+
+void Broker::on(const AttemptOver& e) {
+  Call* call = find(e.call);
+  if (call == nullptr || !call->out || call->out->index != e.attempt) return;
+  const Attempt out = *call->out;
+  if (!out.stands) record(*call, e.outcome);
+  call->out.reset();
+  if (leaves_traces(e.outcome)) call->guard_until = now_ + settings_.release_guard + kGuardMargin;
+  if (out.stands) {
+    --standing_;
+    counters_.add(e.outcome == Outcome::ok ? "broker.calls_ended" : "broker.calls_cut");
+    if (e.outcome != Outcome::cancelled) emit(ReleaseCaller{e.call, e.cause});
+  } else {
+    counters_.add("broker.attempts_ended");
+    // A success that crossed our giving up stood at the server for a moment: a further attempt might ring the
+    // callee twice, so there is none.
+    if (e.crossed && !call->answered) answer(*call, false, false, Why::crossed, kStayAway, {});
+  }
+  AttemptEnded ended;
+  ended.call = e.call;
+  ended.attempt = e.attempt;
+  ended.server = out.server;
+  ended.outcome = e.outcome;
+  ended.delay = now_ - out.sent_at;
+  ended.call_over = call->answered;
+  ended.reason = e.reason;
+  ended.report = e.report;
+  tell_module(ended);
+  settle_module();
+  forget_if_over(e.call);
+}
+
+void Broker::on(const ServersChanged& e) {
+  if (e.list.kind == ListKind::refused) return;
+  if (e.list.kind != ListKind::changes) {
+    for (auto& [id, server] : servers_) server.state = ServerState::terminated;
+  }
+  for (const ServerEntry& entry : e.list.entries) {
+    Server& server = servers_[entry.server];
+    if (server.online_since != entry.online_since) server.sends.clear();
+    server.state = entry.state;
+    server.online_since = entry.online_since;
+  }
+  tell_module(e.list);
+}
+
+void Broker::on(const ReportHeard& e) { tell_module(ServerReport{e.server, e.report}); }
+
+// ---- time
+
+void Broker::on(const TimerRang& e) {
+  const auto it = alarms_.find(e.timer);
+  if (it == alarms_.end()) return;
+  const Alarm rang = it->second;
+  alarms_.erase(it);
+  if (rang.kind == Alarm::Kind::module) return tell_module(TimerDue{rang.timer});
+  Call* call = find(rang.call);
+  if (call == nullptr) return;
+  if (rang.kind == Alarm::Kind::deadline) return overdue(*call);
+  if (call->out && !call->out->sent) start(*call);
+}
+
+// The caller stops waiting now. The module hears of the time-out and may still say how to answer; if it says
+// nothing, the answer is given all the same.
+void Broker::overdue(Call& call) {
+  if (call.answered) return;
+  const CallId id = call.request->call;
+  counters_.add("broker.overdue");
+  if (call.out) {
+    const Attempt out = *call.out;
+    record(call, Outcome::timed_out);
+    if (out.sent && !out.abandoned) emit(AbandonAttempt{id, out.index});
+    call.out.reset();
+    AttemptEnded ended;
+    ended.call = id;
+    ended.attempt = out.index;
+    ended.server = out.server;
+    ended.outcome = out.sent ? Outcome::timed_out : Outcome::not_sent;
+    ended.delay = now_ - (out.sent ? out.sent_at : now_);
+    tell_module(ended);
+    settle_module();
+  }
+  Call* left = find(id);
+  if (left == nullptr) return;
+  if (!left->answered) {
+    answer(*left, false, false, Why::overdue, kStayAway, {});
+    tell_module(CallerLeft{id});  // what it still holds for the call is void
+  }
+  settle_module();
+  forget_if_over(id);
+}
+
+// ---- the module's actions
+
+void Broker::tell_module(const graniterun::Event& event) {
+  for_module_.push_back(event);
+  if (!in_module_) settle_module();
+}
+
+void Broker::settle_module() {
+  if (in_module_) return;
+  in_module_ = true;
+  std::vector<Action> actions;
+  while (!for_module_.empty()) {
+    const graniterun::Event event = std::move(for_module_.front());
+    for_module_.pop_front();
+    actions.clear();
+    controller_.handle(now_, event, actions);
+    for (const Action& action : actions) std::visit([this](const auto& a) { act(a); }, action);
+  }
+  in_module_ = false;
+}
+
+void Broker::act(const SendSetUp& a) {
+  Call* call = find(a.call);
+  if (call == nullptr) return;
+  const int index = call->attempts++;
+  std::string_view why_not;
+  if (call->answered || call->out || now_ >= call->deadline || index >= call->most_attempts) {
+    counters_.add("broker.sends_barred.call");
+    return not_sent(*call, index, a.server);
+  }
+  if (!may_send(a.server, why_not)) {
+    counters_.add(why_not);
+    return not_sent(*call, index, a.server);
+  }
+  call->out = Attempt{index, a.server, std::min(a.give_up_at, call->deadline), now_, false, false, false};
+  if (now_ < call->guard_until) {
+    counters_.add("broker.sends_guarded");
+    return alarm(call->guard_until, {Alarm::Kind::guard, a.call, {}});
+  }
+  start(*call);
+}
+
+void Broker::start(Call& call) {
+  Attempt& out = *call.out;
+  // The server may have begun to drain while the attempt waited for the guard.
+  std::string_view why_not;
+  if (!may_send(out.server, why_not) || now_ >= call.deadline) {
+    const Attempt waiting = out;
+    call.out.reset();
+    return not_sent(call, waiting.index, waiting.server);
+  }
+  out.sent = true;
+  out.sent_at = now_;
+  Server& server = servers_[out.server];
+  server.sends.push_back(now_);
+  counters_.add("broker.attempts");
+  emit(StartAttempt{call.request, out.index, out.server, out.give_up_at});
+}
+
+void Broker::not_sent(Call& call, int index, ServerId server) {
+  AttemptEnded ended;
+  ended.call = call.request->call;
+  ended.attempt = index;
+  ended.server = server;
+  ended.outcome = Outcome::not_sent;
+  ended.call_over = call.answered;
+  tell_module(ended);
+}
+
+// In service, and a cold one not beyond what this gatekeeper's own part of its warm load allows: the module
+// spends less than that, so this binds only where it errs.
+bool Broker::may_send(ServerId id, std::string_view& why_not) {
+  const auto it = servers_.find(id);
+  if (it == servers_.end() || it->second.state != ServerState::in_service) {
+    why_not = "broker.sends_barred.drain";
+    return false;
+  }
+  Server& server = it->second;
+  while (!server.sends.empty() && now_ - server.sends.front() > settings_.fall_window)
+    server.sends.pop_front();
+  const auto recent = static_cast<double>(server.sends.size());
+  if (!server.online_since || now_ >= *server.online_since + settings_.cold_time) {
+    server.busiest = std::max(server.busiest, recent + 1.0);
+    return true;
+  }
+  double busiest = 0.0;
+  for (const auto& [other, s] : servers_) busiest = std::max(busiest, s.busiest);
+  if (recent < std::max(kColdLeast, settings_.fall_multiple * settings_.cold_share * busiest)) return true;
+  why_not = "broker.sends_barred.cold";
+  return false;
+}
+
+void Broker::act(const CancelAttempt& a) {
+  Call* call = find(a.call);
+  if (call == nullptr || !call->out || call->out->index != a.attempt) return;
+  if (!call->out->stands) give_up_attempt(*call);
+}
+
+void Broker::give_up_attempt(Call& call) {
+  if (call.out->abandoned) return;
+  if (!call.out->sent) {  // it still waits for the guard: nothing has to be called off
+    const Attempt waiting = *call.out;
+    call.out.reset();
+    return not_sent(call, waiting.index, waiting.server);
+  }
+  call.out->abandoned = true;
+  counters_.add("broker.attempts_abandoned");
+  emit(AbandonAttempt{call.request->call, call.out->index});
+}
+
+void Broker::act(const Refuse& a) {
+  if (Call* call = find(a.call); call != nullptr && !call->answered) {
+    answer(*call, false, true, Why::throttled, a.stay_away, {});
+    forget_if_over(a.call);
+  }
+}
+
+void Broker::act(const Fail& a) {
+  if (Call* call = find(a.call); call != nullptr && !call->answered) {
+    answer(*call, false, false, now_ >= call->deadline ? Why::overdue : Why::no_success, kStayAway, {});
+    forget_if_over(a.call);
+  }
+}
+
+void Broker::act(const SetTimer& a) { alarm(now_ + a.after, {Alarm::Kind::module, {}, a.timer}); }
+
+// ---- small things
+
+void Broker::answer(Call& call, bool served, bool refused, Why why, Duration wait,
+                    const std::string& description) {
+  call.answered = true;
+  call.turned_down = !served;
+  --unanswered_;
+  const CallId id = call.request->call;
+  if (served) {
+    counters_.add("broker.served");
+    emit(Serve{id, description});
+  } else {
+    counters_.add(refused ? "broker.refused" : "broker.failed");
+    emit(TurnDown{id, refused, why, wait});
+    if (call.out) give_up_attempt(call);
+  }
+  emit(RequestAnswered{call.request, call.came, served, served ? std::nullopt : std::optional(why),
+                       std::move(call.records)});
+}
+
+void Broker::record(Call& call, std::optional<Outcome> outcome) {
+  // Called just before or after the attempt ends; `out` is the one that was sent last.
+  AttemptRecord r;
+  r.outcome = outcome;
+  r.ended = now_;
+  if (call.out) {
+    r.server = call.out->server;
+    r.began = call.out->sent_at;
+  }
+  if (!call.answered) call.records.push_back(r);
+}
+
+void Broker::forget_if_over(CallId id) {
+  const auto it = calls_.find(id);
+  if (it != calls_.end() && it->second.answered && !it->second.out) calls_.erase(it);
+}
+
+void Broker::alarm(Time at, Alarm alarm) {
+  alarms_.emplace(++last_alarm_, alarm);
+  emit(SetAlarm{at, last_alarm_});
+}
+
+Broker::Call* Broker::find(CallId id) {
+  const auto it = calls_.find(id);
+  return it == calls_.end() ? nullptr : &it->second;
+}
+
+}  // namespace graniterun::core
--- /dev/null
+++ b/src/core/broker.h
@@ -0,0 +1,245 @@
+// The broker: requests, attempts, outcomes and standing calls, whatever wire they came by. It drives the
+// Controller, which decides, and keeps the rules itself whatever the Controller says: one final answer by the
+// deadline, one attempt out, the release guard, nothing new to a server that drains, no flood of a cold one.
+// It is a reducer: events with their time in, effects out.
+#pragma once
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <variant>
+#include <vector>
+
+#include "core/contracts.h"
+#include "core/counters.h"
+#include "graniterun/controller.h"
+
+namespace graniterun::core {
+
+// A front numbers its own calls; the top bits of a CallId are the front's.
+enum class Front : std::uint8_t { platform = 0, sip = 1 };
+constexpr int kFrontShift = 56;
+constexpr CallId call_id(Front front, std::uint64_t number) {
+  return CallId{static_cast<std::uint64_t>(front) << kFrontShift | number};
+}
+constexpr Front front_of(CallId call) {
+  return static_cast<Front>(static_cast<std::uint64_t>(call) >> kFrontShift);
+}
+
+struct Request {
+  CallId call{};
+  std::string label{};  // the id by which servers are to know the call
+  std::string team{};
+  ClassIndex call_class{};
+  std::string class_name{};
+  std::string number_text{};
+  Number number{};
+  Pool destination{-1};
+  Time deadline{};
+  double lines{1};
+  bool redial{};
+  bool cut_before{};
+  std::string description{};
+};
+
+enum class Why : std::uint8_t {
+  throttled,
+  over_budget,
+  overdue,
+  number_busy,
+  no_success,
+  crossed,
+  cut,
+  ended
+};
+
+// ---- Events
+
+struct RequestCame {
+  Request request;
+};
+struct CallerGaveUp {
+  CallId call{};
+};
+struct CallerReleased {
+  CallId call{};
+  int cause{};
+};
+struct AttemptStood {
+  CallId call{};
+  int attempt{};
+  std::string description{};
+};
+struct AttemptOver {  // before it stood, or a standing call's end
+  CallId call{};
+  int attempt{};
+  Outcome outcome{};
+  FullReason reason{};
+  LoadReport report{};
+  int cause{};           // of a standing call's end
+  bool crossed = false;  // the server's success crossed our giving up; it has been released
+};
+struct ServersChanged {
+  ServerList list{};
+};
+struct ReportHeard {
+  ServerId server{};
+  LoadReport report{};
+};
+struct TimerRang {
+  std::uint64_t timer{};
+};
+
+using Event = std::variant<RequestCame, CallerGaveUp, CallerReleased, AttemptStood, AttemptOver,
+                           ServersChanged, ReportHeard, TimerRang>;
+
+// ---- Effects
+
+struct StartAttempt {
+  std::shared_ptr<const Request> request{};
+  int attempt{};
+  ServerId server{};
+  Time give_up_at{};
+};
+struct AbandonAttempt {  // answered by an AttemptOver
+  CallId call{};
+  int attempt{};
+};
+struct ReleaseServer {  // cut the standing call
+  CallId call{};
+  int cause{};
+};
+struct Serve {  // final answer
+  CallId call{};
+  std::string description{};
+};
+struct TurnDown {  // final answer
+  CallId call{};
+  bool refused{};  // else failed
+  Why why{};
+  Duration wait{};  // the caller is to stay away so long
+};
+struct ReleaseCaller {
+  CallId call{};
+  int cause{};
+};
+struct SetAlarm {
+  Time at{};
+  std::uint64_t timer{};
+};
+struct Note {  // a line for the log
+  std::string text{};
+};
+// What a request went through, once it is answered: for traces.
+struct AttemptRecord {
+  ServerId server{};
+  Time began{};
+  Time ended{};
+  std::optional<Outcome> outcome{};  // absent: it stands
+};
+struct RequestAnswered {
+  std::shared_ptr<const Request> request{};
+  Time came{};
+  bool served{};
+  std::optional<Why> why{};
+  std::vector<AttemptRecord> attempts{};
+};
+
+using Effect = std::variant<StartAttempt, AbandonAttempt, ReleaseServer, Serve, TurnDown, ReleaseCaller,
+                            SetAlarm, Note, RequestAnswered>;
+using Effects = std::vector<Effect>;
+
+class Broker {
+ public:
+  Broker(Settings settings, std::uint64_t seed, Contracts contracts, Counters& counters);
+
+  void step(Time now, const Event& event, Effects& effects);
+
+  std::size_t unanswered() const { return unanswered_; }
+  std::size_t standing() const { return standing_; }
+
+ private:
+  struct Attempt {
+    int index{};
+    ServerId server{};
+    Time give_up_at{};
+    Time sent_at{};
+    bool sent = false;  // else it waits for the release guard
+    bool stands = false;
+    bool abandoned = false;
+  };
+  struct Call {
+    std::shared_ptr<const Request> request;
+    Time came{};
+    Time deadline{};
+    int most_attempts{};
+    int attempts = 0;
+    std::optional<Attempt> out{};
+    bool answered = false;
+    bool turned_down = false;
+    Time guard_until{};
+    std::vector<AttemptRecord> records{};
+  };
+  struct Server {
+    ServerState state{};
+    std::optional<Time> online_since{};
+    std::deque<Time> sends{};  // within the last window
+    double busiest = 0.0;      // the most sends within a window while it was warm
+  };
+  struct Alarm {
+    enum class Kind : std::uint8_t { deadline, guard, module } kind{};
+    CallId call{};
+    TimerId timer{};
+  };
+
+  void on(const RequestCame& e);
+  void on(const CallerGaveUp& e);
+  void on(const CallerReleased& e);
+  void on(const AttemptStood& e);
+  void on(const AttemptOver& e);
+  void on(const ServersChanged& e);
+  void on(const ReportHeard& e);
+  void on(const TimerRang& e);
+
+  void act(const SendSetUp& a);
+  void act(const CancelAttempt& a);
+  void act(const Refuse& a);
+  void act(const Fail& a);
+  void act(const SetTimer& a);
+  void act(const TellPeers&) {}
+  void act(const FollowList&) {}
+
+  void tell_module(const graniterun::Event& event);
+  void settle_module();
+  void overdue(Call& call);
+  void start(Call& call);
+  void give_up_attempt(Call& call);
+  void not_sent(Call& call, int index, ServerId server);
+  bool may_send(ServerId server, std::string_view& why_not);
+  void answer(Call& call, bool served, bool refused, Why why, Duration wait, const std::string& description);
+  void record(Call& call, std::optional<Outcome> outcome);
+  void forget_if_over(CallId id);
+  void alarm(Time at, Alarm alarm);
+  Call* find(CallId id);
+  void emit(Effect effect) { effects_->push_back(std::move(effect)); }
+
+  Settings settings_;
+  Contracts contracts_;
+  Counters& counters_;
+  Controller controller_;
+  Time now_{};
+  Effects* effects_ = nullptr;
+  std::unordered_map<CallId, Call> calls_;
+  std::map<ServerId, Server> servers_;
+  std::unordered_map<std::uint64_t, Alarm> alarms_;
+  std::uint64_t last_alarm_ = 0;
+  std::deque<graniterun::Event> for_module_;
+  bool in_module_ = false;
+  std::size_t unanswered_ = 0;
+  std::size_t standing_ = 0;
+};
+
+}  // namespace graniterun::core
--- /dev/null
+++ b/src/core/contracts.cpp
@@ -0,0 +1,50 @@
+#include "core/contracts.h"
+
+#include <algorithm>
+
+namespace graniterun::core {
+
+Contracts::Contracts(std::vector<Contract> contracts) {
+  for (Contract& contract : contracts) {
+    const double tokens = contract.burst;
+    accounts_.push_back({std::move(contract), tokens, {}});
+  }
+}
+
+// The team's contract for the class, else its contract for every class, else that of those without one.
+Contracts::Account* Contracts::find(std::string_view team, ClassIndex call_class) {
+  Account* best = nullptr;
+  int best_rank = 0;
+  for (Account& account : accounts_) {
+    const Contract& c = account.contract;
+    if ((!c.team.empty() && c.team != team) || (c.call_class && *c.call_class != call_class)) continue;
+    const int rank = 1 + (c.team == team ? 2 : 0) + (c.call_class ? 1 : 0);
+    if (rank > best_rank) {
+      best = &account;
+      best_rank = rank;
+    }
+  }
+  return best;
+}
+
+Contracts::Terms Contracts::admit(Time now, std::string_view team, ClassIndex call_class) {
+  Terms terms;
+  Account* account = find(team, call_class);
+  if (account == nullptr) return terms;
+  const Contract& c = account->contract;
+  terms.deadline = c.deadline;
+  terms.attempts = c.attempts;
+  if (!c.per_second) return terms;
+  const double since = std::chrono::duration<double>(now - account->filled.value_or(now)).count();
+  account->filled = now;
+  account->tokens = std::min(c.burst, account->tokens + since * *c.per_second);
+  if (account->tokens >= 1.0) {
+    account->tokens -= 1.0;
+  } else {
+    const double wait_s = (1.0 - account->tokens) / std::max(*c.per_second, 1e-3);
+    terms.over_budget = std::chrono::duration_cast<Duration>(std::chrono::duration<double>(wait_s));
+  }
+  return terms;
+}
+
+}  // namespace graniterun::core
--- /dev/null
+++ b/src/core/counters.h
@@ -0,0 +1,31 @@
+// What the program has taken in, sent and answered, by name.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+
+namespace graniterun {
+
+class Counters {
+ public:
+  void add(std::string_view name, std::uint64_t count = 1) {
+    const auto it = values_.find(name);
+    if (it == values_.end()) {
+      values_.emplace(name, count);
+    } else {
+      it->second += count;
+    }
+  }
+  std::uint64_t of(std::string_view name) const {
+    const auto it = values_.find(name);
+    return it == values_.end() ? 0 : it->second;
+  }
+  const std::map<std::string, std::uint64_t, std::less<>>& all() const { return values_; }
+
+ private:
+  std::map<std::string, std::uint64_t, std::less<>> values_;
+};
+
+}  // namespace graniterun
--- /dev/null
+++ b/src/front/platform.cpp
@@ -0,0 +1,231 @@
+#include "front/platform.h"
+
+#include <algorithm>
+#include <charconv>
+
+namespace graniterun::front {
+namespace {
+
+// Causes of Q.850.
+constexpr int kNormal = 16;
+constexpr int kBusy = 17;
+constexpr int kTemporaryFailure = 41;
+constexpr int kCongestion = 42;
+constexpr int kInvalid = 95;
+constexpr std::size_t kMostHomeless = 4096;
+
+int cause_of(bool refused, core::Why why) {
+  if (refused) return kCongestion;
+  return why == core::Why::number_busy ? kBusy : kTemporaryFailure;
+}
+
+jsonl::Message message(std::string type, std::string id, std::optional<int> cause = {}) {
+  jsonl::Message m;
+  m.type = std::move(type);
+  m.id = std::move(id);
+  m.cause = cause;
+  return m;
+}
+
+template <class Value>
+std::optional<Value> number(std::string_view text) {
+  Value value{};
+  const auto [stop, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+  if (text.empty() || error != std::errc{} || stop != text.data() + text.size()) return std::nullopt;
+  return value;
+}
+
+}  // namespace
+
+void Platform::on(Time, const net::Accepted& e, Outbox& out) {
+  counters_.add("platform.connections");
+  connections_.try_emplace(e.conn);
+  for (auto& [id, line] : std::exchange(homeless_, {})) tell(e.conn, id, std::move(line), out);
+}
+
+void Platform::on(Time now, const net::Received& e, Outbox& out) {
+  std::size_t used = 0;
+  while (used < e.bytes.size()) {
+    const jsonl::ReadResult read = jsonl::read(e.bytes.substr(used));
+    if (read.state == jsonl::ReadState::more && read.used == 0) break;
+    used += read.used;
+    if (read.state == jsonl::ReadState::more) break;
+    if (read.state == jsonl::ReadState::message) {
+      take(now, e.conn, read.message, out);
+      continue;
+    }
+    refuse_malformed(e.conn, read.message.id, read.trouble, out);
+    if (read.lost || read.message.id.empty()) {
+      out.close(e.conn);
+      on(now, net::Closed{e.conn, false}, out);
+      return;
+    }
+  }
+  out.net.push_back(net::Consume{e.conn, used});
+}
+
+void Platform::refuse_malformed(net::ConnId conn, const std::string& id, const std::string& trouble,
+                                Outbox& out) {
+  counters_.add("platform.malformed");
+  out.log(net::Level::warning, "a caller's line is refused: " + trouble);
+  if (id.empty() || by_id_.contains(id)) return;  // an open call's answer is not to be spoilt
+  jsonl::Message m = message("release", id, kInvalid);
+  m.fields.emplace("reason", trouble);
+  out.send(conn, m.text());
+}
+
+void Platform::take(Time now, net::ConnId conn, const jsonl::Message& m, Outbox& out) {
+  if (m.type == "setup") return set_up(now, conn, m, out);
+  if (m.type == "ping") {
+    counters_.add("platform.pings");
+    out.send(conn, message("pong", m.id, ready_ ? 1 : 0).text());
+  } else if (m.type == "release") {
+    counters_.add("platform.releases_in");
+    const auto it = by_id_.find(m.id);
+    const bool stood = it == by_id_.end() || calls_.at(it->second).stands;
+    if (stood) out.send(conn, message("released", m.id).text());
+    if (it == by_id_.end()) return;
+    const CallId call = it->second;
+    forget(call);
+    if (stood) {
+      out.tell(core::CallerReleased{call, m.cause.value_or(kNormal)});
+    } else {
+      out.tell(core::CallerGaveUp{call});
+    }
+  } else if (m.type == "released") {
+    counters_.add("platform.released_in");
+    if (const auto it = connections_.find(conn); it != connections_.end()) it->second.told.erase(m.id);
+  } else if (m.type != "progress") {
+    counters_.add("platform.unknown_type");
+  }
+}
+
+void Platform::set_up(Time now, net::ConnId conn, const jsonl::Message& m, Outbox& out) {
+  counters_.add("platform.setups");
+  if (const auto it = by_id_.find(m.id); it != by_id_.end()) {
+    // Sent once more because it crossed a close: the same call, now to be answered here.
+    Call& call = calls_.at(it->second);
+    if (!call.stands && call.conn != conn) {
+      if (const auto old = connections_.find(call.conn); old != connections_.end())
+        old->second.waiting.erase(it->second);
+      call.conn = conn;
+      connections_[conn].waiting.insert(it->second);
+    }
+    return;
+  }
+  core::Request request;
+  const std::string trouble = read_request(now, m, request);
+  if (!trouble.empty()) return refuse_malformed(conn, m.id, trouble, out);
+  request.call = core::call_id(core::Front::platform, ++last_);
+  calls_.emplace(request.call, Call{m.id, conn});
+  by_id_.emplace(m.id, request.call);
+  connections_[conn].waiting.insert(request.call);
+  out.tell(core::RequestCame{std::move(request)});
+}
+
+std::string Platform::read_request(Time now, const jsonl::Message& m, core::Request& r) const {
+  const auto name = std::find(class_names_.begin(), class_names_.end(), m.field("class"));
+  if (name == class_names_.end()) return "the class is not one of the settings";
+  r.call_class = static_cast<ClassIndex>(name - class_names_.begin());
+  r.class_name = *name;
+  const auto left = number<double>(m.field("left"));
+  if (!left || !(*left >= 0.0) || *left > 1e8) return "'left' is not a time in milliseconds";
+  r.deadline = now + std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(*left));
+  r.number_text = m.field("key");
+  const auto key = jsonl::number_of_hex(m.field("key"));
+  if (!key) return "'key' is not hex digits";
+  r.number = Number{*key};
+  r.label = m.id;
+  r.redial = !m.field("retry").empty() && m.field("retry") != "0";
+  r.description = m.description.value_or("");
+  std::string_view extras = m.field("extras");
+  while (!extras.empty()) {
+    const std::string_view piece = extras.substr(0, extras.find(';'));
+    extras.remove_prefix(std::min(extras.size(), piece.size() + 1));
+    const std::size_t colon = piece.find(':');
+    const std::string_view word = piece.substr(0, colon);
+    const auto value =
+        colon == std::string_view::npos ? std::optional<double>{} : number<double>(piece.substr(colon + 1));
+    if (!value) return "'extras' is not name:number pairs";
+    if (word == "dest") r.destination = Pool{static_cast<std::int64_t>(*value)};
+    if (word == "width") r.lines = *value;
+    if (word == "again") r.cut_before = *value != 0.0;
+  }
+  return {};
+}
+
+void Platform::on(Time, const net::Closed& e, Outbox& out) {
+  const auto it = connections_.find(e.conn);
+  if (it == connections_.end()) return;
+  const Connection gone = std::move(it->second);
+  connections_.erase(it);
+  for (const CallId call : gone.waiting) {
+    forget(call);
+    out.tell(core::CallerGaveUp{call});
+  }
+  // A release that was not heard on this connection is told on another one: calls belong to none.
+  for (const auto& [id, line] : gone.told) tell(e.conn, id, line, out);
+}
+
+// ---- the broker's effects
+
+void Platform::apply(const core::Serve& e, Outbox& out) {
+  const auto it = calls_.find(e.call);
+  if (it == calls_.end()) return;
+  counters_.add("platform.answers");
+  it->second.stands = true;
+  connections_[it->second.conn].waiting.erase(e.call);
+  jsonl::Message m = message("answer", it->second.id);
+  m.description = e.description;
+  out.send(it->second.conn, m.text());
+}
+
+void Platform::apply(const core::TurnDown& e, Outbox& out) {
+  const auto it = calls_.find(e.call);
+  if (it == calls_.end()) return;
+  counters_.add(e.refused ? "platform.refusals" : "platform.failures");
+  jsonl::Message m = message("release", it->second.id, cause_of(e.refused, e.why));
+  if (e.wait > Duration{}) {
+    const auto ms = std::chrono::ceil<std::chrono::milliseconds>(e.wait).count();
+    m.fields.emplace("wait", std::to_string(ms));
+  }
+  out.send(it->second.conn, m.text());
+  forget(e.call);
+}
+
+void Platform::apply(const core::ReleaseCaller& e, Outbox& out) {
+  const auto it = calls_.find(e.call);
+  if (it == calls_.end()) return;
+  counters_.add("platform.releases_out");
+  const Call call = it->second;
+  forget(e.call);
+  tell(call.conn, call.id, message("release", call.id, e.cause).text(), out);
+}
+
+void Platform::pass_on_release(const std::string& label, int cause, Outbox& out) {
+  counters_.add("platform.releases_passed_on");
+  tell({}, label, message("release", label, cause).text(), out);
+}
+
+// What ends a call may go to the callers on any connection: on its own, else another, else the next.
+void Platform::tell(net::ConnId preferred, const std::string& id, std::string line, Outbox& out) {
+  auto it = connections_.find(preferred);
+  if (it == connections_.end()) it = connections_.begin();
+  if (it == connections_.end()) {
+    if (homeless_.size() < kMostHomeless) homeless_.emplace_back(id, std::move(line));
+    return;
+  }
+  out.send(it->first, line);
+  it->second.told.insert_or_assign(id, std::move(line));
+}
+
+void Platform::forget(CallId call) {
+  const auto it = calls_.find(call);
+  if (it == calls_.end()) return;
+  if (const auto conn = connections_.find(it->second.conn); conn != connections_.end())
+    conn->second.waiting.erase(call);
+  by_id_.erase(it->second.id);
+  calls_.erase(it);
+}
+
+}  // namespace graniterun::front
--- /dev/null
+++ b/src/front/platform.h
@@ -0,0 +1,63 @@
+// The platform's front: callers' JSON lines over TCP, turned into requests of the broker and back. Thin: it
+// decides nothing but what is well formed.
+#pragma once
+
+#include <deque>
+#include <map>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "app/outbox.h"
+#include "core/counters.h"
+#include "proto/jsonl.h"
+
+namespace graniterun::front {
+
+class Platform {
+ public:
+  Platform(std::vector<std::string> class_names, Counters& counters)
+      : class_names_(std::move(class_names)), counters_(counters) {}
+
+  void on(Time now, const net::Accepted& e, Outbox& out);
+  void on(Time now, const net::Received& e, Outbox& out);
+  void on(Time now, const net::Closed& e, Outbox& out);
+  void ready(bool ready) { ready_ = ready; }
+
+  void apply(const core::Serve& e, Outbox& out);
+  void apply(const core::TurnDown& e, Outbox& out);
+  void apply(const core::ReleaseCaller& e, Outbox& out);
+  // A server released a call that is not known here: it stood before a restart. Its caller may still be
+  // there.
+  void pass_on_release(const std::string& label, int cause, Outbox& out);
+
+ private:
+  struct Call {
+    std::string id;
+    net::ConnId conn;
+    bool stands = false;
+  };
+  struct Connection {
+    std::set<CallId> waiting;                 // set-ups without an answer
+    std::map<std::string, std::string> told;  // releases that were not heard yet, by id
+  };
+
+  void take(Time now, net::ConnId conn, const jsonl::Message& m, Outbox& out);
+  void set_up(Time now, net::ConnId conn, const jsonl::Message& m, Outbox& out);
+  std::string read_request(Time now, const jsonl::Message& m, core::Request& request) const;
+  void refuse_malformed(net::ConnId conn, const std::string& id, const std::string& trouble, Outbox& out);
+  void tell(net::ConnId preferred, const std::string& id, std::string line, Outbox& out);
+  void forget(CallId call);
+
+  std::vector<std::string> class_names_;
+  Counters& counters_;
+  std::map<net::ConnId, Connection> connections_;
+  std::unordered_map<CallId, Call> calls_;
+  std::unordered_map<std::string, CallId> by_id_;
+  std::deque<std::pair<std::string, std::string>> homeless_;  // releases that no connection could take
+  std::uint64_t last_ = 0;
+  bool ready_ = false;
+};
+
+}  // namespace graniterun::front
--- /dev/null
+++ b/src/main.cpp
@@ -0,0 +1,83 @@
+// graniterun: one gatekeeper on real sockets.
+#include <csignal>
+#include <cstdlib>
+#include <exception>
+#include <fstream>
+#include <iostream>
+#include <iterator>
+#include <string>
+
+#include "app/gatekeeper.h"
+#include "net/runtime.h"
+
+namespace {
+
+using namespace graniterun;
+
+std::string read_file(const std::string& path) {
+  std::ifstream file(path);
+  if (!file) throw BadConfig("cannot read " + path);
+  return {std::istreambuf_iterator<char>(file), {}};
+}
+
+std::string variable(const char* name) {
+  const char* value = std::getenv(name);
+  return value != nullptr ? value : "";
+}
+
+net::Level level_from(const std::string& word) {
+  if (word == "debug") return net::Level::debug;
+  if (word.empty() || word == "info") return net::Level::info;
+  if (word == "warning") return net::Level::warning;
+  if (word == "error") return net::Level::error;
+  throw BadConfig("GRANITERUN_LOG is not one of debug, info, warning, error");
+}
+
+int run(int argc, char** argv) {
+  std::string deploy_path;
+  for (int i = 1; i < argc; ++i) {
+    if (std::string(argv[i]) != "--deploy" || i + 1 == argc)
+      throw BadConfig("usage: graniterun [--deploy FILE]");
+    deploy_path = argv[++i];
+  }
+  const std::string config_path = variable("RELAY_CONFIG");
+  if (config_path.empty()) throw BadConfig("RELAY_CONFIG is not set");
+  PlatformConfig config = read_platform_config(read_file(config_path));
+  if (const std::string listen = variable("RELAY_LISTEN"); !listen.empty()) config.listen = listen;
+  if (const std::string name = variable("RELAY_NAME"); !name.empty()) config.name = name;
+  const DeployConfig deploy =
+      deploy_path.empty() ? DeployConfig{} : read_deploy_config(read_file(deploy_path), config.class_names);
+
+  net::RuntimeLimits limits;
+  // Some descriptors are the program's own.
+  limits.connections = config.sockets > 64 ? config.sockets - 48 : config.sockets / 2;
+  net::Runtime runtime(limits, net::Logger(level_from(variable("GRANITERUN_LOG"))));
+  Gatekeeper gatekeeper(config, deploy, [&runtime](Counters& all) {
+    const net::RuntimeCounters& c = runtime.counters();
+    all.add("net.bytes_in", c.bytes_in);
+    all.add("net.bytes_out", c.bytes_out);
+    all.add("net.accepted", c.accepted);
+    all.add("net.turned_away", c.turned_away);
+    all.add("net.overflowed", c.overflowed);
+    all.add("net.timers", c.timers);
+    all.add("net.timers_over_5ms_late", c.timers_late_5ms);
+    all.add("net.timers_over_20ms_late", c.timers_late_20ms);
+    const auto latest = std::chrono::duration_cast<std::chrono::microseconds>(c.latest_timer);
+    all.add("net.latest_timer_us", static_cast<std::uint64_t>(latest.count()));
+  });
+  return runtime.run([&gatekeeper](Time now, const net::Event& event, net::Effects& effects) {
+    gatekeeper.step(now, event, effects);
+  });
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  std::signal(SIGPIPE, SIG_IGN);
+  try {
+    return run(argc, argv);
+  } catch (const std::exception& trouble) {
+    std::cerr << "graniterun: " << trouble.what() << '\n';
+    return 1;
+  }
+}
--- /dev/null
+++ b/src/net/events.h
@@ -0,0 +1,118 @@
+// What the runtime tells the reducer and what the reducer asks of the runtime. Plain data: nothing here reads
+// or writes.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+#include "graniterun/controller.h"
+
+namespace graniterun::net {
+
+// Whose connection, socket or timer it is.
+enum class Concern : std::uint8_t { broker, platform, server, journal, sip, trunk, collector, process };
+
+struct ConnId {
+  Concern concern{};
+  std::uint32_t number{};
+  auto operator<=>(const ConnId&) const = default;
+};
+
+struct TimerKey {
+  Concern concern{};
+  std::uint64_t number{};
+};
+
+enum class Level : std::uint8_t { debug, info, warning, error };
+
+// ---- Events
+
+struct Accepted {
+  ConnId conn;
+};
+struct Connected {
+  ConnId conn;
+};
+struct ConnectFailed {
+  ConnId conn;
+  bool refused{};  // nobody listens there; else no answer came in time
+};
+// All that has come in and was not consumed yet. What the reducer does not consume stands in the next one
+// too.
+struct Received {
+  ConnId conn;
+  std::string_view bytes;
+};
+struct Closed {  // by the other side, or for an error
+  ConnId conn;
+  bool reset{};
+};
+struct Datagram {
+  Concern concern{};
+  std::string_view peer;  // address:port
+  std::string_view bytes;
+};
+struct TimerFired {
+  TimerKey key;
+};
+struct StopAsked {};      // SIGTERM
+struct CountersAsked {};  // SIGUSR1
+struct Started {};
+
+using Event = std::variant<Started, Accepted, Connected, ConnectFailed, Received, Closed, Datagram,
+                           TimerFired, StopAsked, CountersAsked>;
+
+// ---- Effects
+
+struct Listen {  // TCP
+  Concern concern{};
+  std::string address;
+};
+struct Bind {  // UDP
+  Concern concern{};
+  std::string address;
+};
+struct Connect {
+  ConnId conn;
+  std::string address;
+  Duration within{};
+};
+struct Send {
+  ConnId conn;
+  std::string bytes;
+};
+struct SendDatagram {
+  Concern concern{};
+  std::string peer;
+  std::string bytes;
+};
+struct Consume {
+  ConnId conn;
+  std::size_t count{};
+};
+struct Close {  // once what was sent is written
+  ConnId conn;
+};
+struct ArmTimer {
+  TimerKey key;
+  Time at{};
+};
+struct Log {
+  Level level{};
+  std::string text;
+};
+struct Print {  // whatever the level
+  std::string text;
+};
+struct Exit {
+  int status{};
+};
+
+using Effect =
+    std::variant<Listen, Bind, Connect, Send, SendDatagram, Consume, Close, ArmTimer, Log, Print, Exit>;
+using Effects = std::vector<Effect>;
+
+}  // namespace graniterun::net
--- /dev/null
+++ b/src/net/runtime.cpp
@@ -0,0 +1,481 @@
+#include "net/runtime.h"
+
+#include <gio/gio.h>
+#include <glib-unix.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+
+#include <map>
+#include <queue>
+#include <string>
+#include <utility>
+
+#include "net/ring.h"
+
+namespace graniterun::net {
+namespace {
+
+struct Unref {
+  void operator()(gpointer object) const { g_object_unref(object); }
+};
+template <class T>
+using Owned = std::unique_ptr<T, Unref>;
+
+// The text of a GError, which is freed.
+std::string text_of(GError* error) {
+  std::string text = error != nullptr ? error->message : "unknown error";
+  g_clear_error(&error);
+  return text;
+}
+
+Owned<GSocketAddress> address_of(const std::string& text) {
+  const auto colon = text.rfind(':');
+  if (colon == std::string::npos) return nullptr;
+  const int port = std::atoi(text.c_str() + colon + 1);
+  return Owned<GSocketAddress>(
+      g_inet_socket_address_new_from_string(text.substr(0, colon).c_str(), static_cast<guint>(port)));
+}
+
+std::string text_of(GSocketAddress* address) {
+  auto* inet = G_INET_SOCKET_ADDRESS(address);
+  gchar* host = g_inet_address_to_string(g_inet_socket_address_get_address(inet));
+  std::string text = std::string(host) + ":" + std::to_string(g_inet_socket_address_get_port(inet));
+  g_free(host);
+  return text;
+}
+
+// A source of the main loop that ends with its owner.
+class Source {
+ public:
+  Source() = default;
+  Source(Source&& other) noexcept : source_(std::exchange(other.source_, nullptr)) {}
+  Source& operator=(Source&& other) noexcept {
+    std::swap(source_, other.source_);
+    return *this;
+  }
+  ~Source() { end(); }
+  template <class Callback>
+  void start(GSource* source, Callback callback, gpointer data, int priority = G_PRIORITY_DEFAULT) {
+    end();
+    source_ = source;
+    g_source_set_callback(source_, reinterpret_cast<GSourceFunc>(reinterpret_cast<void (*)()>(callback)),
+                          data, nullptr);
+    g_source_set_priority(source_, priority);
+    g_source_attach(source_, nullptr);
+  }
+  void end() {
+    if (source_ == nullptr) return;
+    g_source_destroy(source_);
+    g_source_unref(source_);
+    source_ = nullptr;
+  }
+  bool running() const { return source_ != nullptr; }
+  GSource* get() const { return source_; }
+
+ private:
+  GSource* source_ = nullptr;
+};
+
+}  // namespace
+
+Time clock_now() {
+  using std::chrono::duration_cast;
+  using std::chrono::steady_clock;
+  using std::chrono::system_clock;
+  static const Duration offset = duration_cast<Duration>(system_clock::now().time_since_epoch()) -
+                                 duration_cast<Duration>(steady_clock::now().time_since_epoch());
+  return Time(duration_cast<Duration>(steady_clock::now().time_since_epoch()) + offset);
+}
+
+class Runtime::Impl {
+ public:
+  Impl(RuntimeLimits limits, Logger logger) : limits_(limits), logger_(logger) {}
+
+  ~Impl() { connections_.clear(); }
+
+  int run(Reducer reducer) {
+    reducer_ = std::move(reducer);
+    loop_ = g_main_loop_new(nullptr, FALSE);
+    Source term;
+    Source user;
+    Source tick;
+    // A timer's source: made ready at the earliest due time. Timers go before reading, or a flood of input
+    // would make deadlines late.
+    static GSourceFuncs functions = {nullptr, nullptr, &Impl::dispatch_tick, nullptr, nullptr, nullptr};
+    tick.start(g_source_new(&functions, sizeof(GSource)), &Impl::on_tick, this, G_PRIORITY_HIGH);
+    tick_ = tick.get();
+    term.start(g_unix_signal_source_new(SIGTERM), &Impl::on_term, this);
+    user.start(g_unix_signal_source_new(SIGUSR1), &Impl::on_user, this);
+    step(Started{});
+    if (!status_) g_main_loop_run(loop_);
+    g_main_loop_unref(loop_);
+    tick_ = nullptr;
+    return status_.value_or(0);
+  }
+
+  RuntimeCounters counters;
+
+ private:
+  struct Connection {
+    Connection(Impl& owner, ConnId conn, Owned<GSocket> own, const RuntimeLimits& limits)
+        : impl(owner), id(conn), socket(std::move(own)), in(limits.inbound), out(limits.outbound) {}
+    Impl& impl;
+    ConnId id;
+    Owned<GSocket> socket;
+    Ring in;
+    Ring out;
+    Source reading;
+    Source writing;
+    Source connecting;
+    Time connect_due{};
+    bool connected = false;
+    bool closing = false;
+  };
+  struct Listener {
+    Impl& impl;
+    Concern concern;
+    Owned<GSocket> socket;
+    Source source;
+  };
+  struct Timer {
+    Time at;
+    std::uint64_t order;
+    TimerKey key;
+    bool operator>(const Timer& other) const {
+      return std::pair(at, order) > std::pair(other.at, other.order);
+    }
+  };
+
+  // ---- the loop's callbacks
+  static gboolean dispatch_tick(GSource*, GSourceFunc callback, gpointer data) { return callback(data); }
+  static gboolean on_tick(gpointer data) {
+    static_cast<Impl*>(data)->fire();
+    return G_SOURCE_CONTINUE;
+  }
+  static gboolean on_term(gpointer data) {
+    static_cast<Impl*>(data)->step(StopAsked{});
+    return G_SOURCE_CONTINUE;
+  }
+  static gboolean on_user(gpointer data) {
+    static_cast<Impl*>(data)->step(CountersAsked{});
+    return G_SOURCE_CONTINUE;
+  }
+  static gboolean on_acceptable(GSocket*, GIOCondition, gpointer data) {
+    auto* listener = static_cast<Listener*>(data);
+    listener->impl.accept(*listener);
+    return G_SOURCE_CONTINUE;
+  }
+  static gboolean on_datagram(GSocket*, GIOCondition, gpointer data) {
+    auto* listener = static_cast<Listener*>(data);
+    listener->impl.receive_datagrams(*listener);
+    return G_SOURCE_CONTINUE;
+  }
+  static gboolean on_readable(GSocket*, GIOCondition, gpointer data) {
+    auto* c = static_cast<Connection*>(data);
+    c->impl.read(c->id);
+    return G_SOURCE_CONTINUE;
+  }
+  static gboolean on_writable(GSocket*, GIOCondition, gpointer data) {
+    auto* c = static_cast<Connection*>(data);
+    c->impl.writable(c->id);
+    return G_SOURCE_CONTINUE;
+  }
+
+  // ---- events in, effects out
+  void step(const Event& event) {
+    Effects effects;
+    reducer_(clock_now(), event, effects);
+    for (Effect& effect : effects) std::visit([this](auto& e) { carry_out(e); }, effect);
+    // One write for all that a step sends on a connection.
+    for (const ConnId id : std::exchange(dirty_, {})) flush(id);
+    for (const ConnId id : std::exchange(broken_, {})) lose(id, true);
+  }
+
+  void carry_out(const Listen& e) { listen(e.concern, e.address, G_SOCKET_TYPE_STREAM); }
+  void carry_out(const Bind& e) { listen(e.concern, e.address, G_SOCKET_TYPE_DATAGRAM); }
+
+  void listen(Concern concern, const std::string& text, GSocketType type) {
+    const bool stream = type == G_SOCKET_TYPE_STREAM;
+    GError* error = nullptr;
+    const auto address = address_of(text);
+    Owned<GSocket> socket(address == nullptr ? nullptr
+                                             : g_socket_new(g_socket_address_get_family(address.get()), type,
+                                                            G_SOCKET_PROTOCOL_DEFAULT, &error));
+    if (socket != nullptr) {
+      g_socket_set_blocking(socket.get(), FALSE);
+      g_socket_set_listen_backlog(socket.get(), 512);
+      if (g_socket_bind(socket.get(), address.get(), TRUE, &error) &&
+          (!stream || g_socket_listen(socket.get(), &error))) {
+        auto listener = std::make_unique<Listener>(Listener{*this, concern, std::move(socket), {}});
+        GSource* source = g_socket_create_source(listener->socket.get(), G_IO_IN, nullptr);
+        listener->source.start(source, stream ? &Impl::on_acceptable : &Impl::on_datagram, listener.get());
+        listeners_.push_back(std::move(listener));
+        return;
+      }
+    }
+    logger_.line(Level::error, "cannot listen on " + text + ": " +
+                                   (address == nullptr ? "not an address" : text_of(error)));
+    carry_out(Exit{1});
+  }
+
+  void accept(Listener& listener) {
+    for (std::size_t i = 0; i < limits_.accepted_from_each; ++i) {
+      Owned<GSocket> socket(g_socket_accept(listener.socket.get(), nullptr, nullptr));
+      if (socket == nullptr) return;
+      if (connections_.size() >= limits_.connections) {
+        ++counters.turned_away;
+        continue;
+      }
+      ++counters.accepted;
+      const ConnId id{listener.concern, ++last_accepted_};
+      adopt(id, std::move(socket));
+      step(Accepted{id});
+    }
+  }
+
+  void adopt(ConnId id, Owned<GSocket> socket) {
+    g_socket_set_blocking(socket.get(), FALSE);
+    g_socket_set_option(socket.get(), IPPROTO_TCP, TCP_NODELAY, 1, nullptr);
+    auto c = std::make_unique<Connection>(*this, id, std::move(socket), limits_);
+    c->connected = true;
+    watch_reading(*c);
+    connections_.insert_or_assign(id, std::move(c));
+  }
+
+  void watch_reading(Connection& c) {
+    if (!c.reading.running())
+      c.reading.start(g_socket_create_source(c.socket.get(), G_IO_IN, nullptr), &Impl::on_readable, &c);
+  }
+
+  void carry_out(const Connect& e) {
+    const auto address = address_of(e.address);
+    GError* error = nullptr;
+    Owned<GSocket> socket(address == nullptr
+                              ? nullptr
+                              : g_socket_new(g_socket_address_get_family(address.get()), G_SOCKET_TYPE_STREAM,
+                                             G_SOCKET_PROTOCOL_TCP, &error));
+    if (socket == nullptr) {
+      g_clear_error(&error);
+      return later(ConnectFailed{e.conn, true});
+    }
+    g_socket_set_blocking(socket.get(), FALSE);
+    g_socket_set_option(socket.get(), IPPROTO_TCP, TCP_NODELAY, 1, nullptr);
+    const bool done = g_socket_connect(socket.get(), address.get(), nullptr, &error);
+    if (!done && !g_error_matches(error, G_IO_ERROR, G_IO_ERROR_PENDING)) {
+      g_clear_error(&error);
+      return later(ConnectFailed{e.conn, true});
+    }
+    g_clear_error(&error);
+    auto c = std::make_unique<Connection>(*this, e.conn, std::move(socket), limits_);
+    c->connect_due = clock_now() + e.within;
+    c->writing.start(g_socket_create_source(c->socket.get(), G_IO_OUT, nullptr), &Impl::on_writable, c.get());
+    arm(Timer{c->connect_due, ++timer_order_, connect_key(e.conn)});
+    connections_.insert_or_assign(e.conn, std::move(c));
+  }
+
+  // The runtime's own timers stand under a concern's number with the top bit set.
+  static constexpr std::uint64_t kConnectTimer = std::uint64_t{1} << 63;
+  static TimerKey connect_key(ConnId id) { return {id.concern, kConnectTimer | id.number}; }
+
+  void carry_out(const Send& e) {
+    const auto it = connections_.find(e.conn);
+    if (it == connections_.end() || it->second->closing) return;
+    if (!it->second->out.put(e.bytes)) {
+      ++counters.overflowed;
+      logger_.line(Level::warning, "a connection is closed: its other side does not read");
+      broken_.push_back(e.conn);
+      return;
+    }
+    dirty_.push_back(e.conn);
+  }
+
+  void carry_out(const SendDatagram& e) {
+    const auto address = address_of(e.peer);
+    for (const auto& listener : listeners_) {
+      if (listener->concern != e.concern || address == nullptr) continue;
+      if (g_socket_get_socket_type(listener->socket.get()) != G_SOCKET_TYPE_DATAGRAM) continue;
+      const gssize sent = g_socket_send_to(listener->socket.get(), address.get(), e.bytes.data(),
+                                           e.bytes.size(), nullptr, nullptr);
+      if (sent > 0) counters.bytes_out += static_cast<std::uint64_t>(sent);
+      return;
+    }
+  }
+
+  void carry_out(const Consume& e) {
+    if (const auto it = connections_.find(e.conn); it != connections_.end()) it->second->in.drop(e.count);
+  }
+
+  void carry_out(const Close& e) {
+    const auto it = connections_.find(e.conn);
+    if (it == connections_.end()) return;
+    it->second->closing = true;
+    it->second->reading.end();
+    dirty_.push_back(e.conn);
+  }
+
+  void carry_out(const ArmTimer& e) { arm(Timer{e.at, ++timer_order_, e.key}); }
+  void carry_out(const Log& e) { logger_.line(e.level, e.text); }
+  void carry_out(const Print& e) { std::cerr << e.text << std::flush; }
+  void carry_out(const Exit& e) {
+    status_ = e.status;
+    g_main_loop_quit(loop_);
+  }
+
+  // An event that an effect brings at once is told at the loop's next turn: reducers are not entered twice.
+  void later(Event event) {
+    soon_.push_back(std::move(event));
+    set_ready();
+  }
+
+  // ---- timers
+  void arm(Timer timer) {
+    timers_.push(timer);
+    set_ready();
+  }
+  void set_ready() {
+    if (tick_ == nullptr) return;
+    if (!soon_.empty()) return g_source_set_ready_time(tick_, 0);
+    if (timers_.empty()) return g_source_set_ready_time(tick_, -1);
+    const auto wait = std::chrono::duration_cast<std::chrono::microseconds>(timers_.top().at - clock_now());
+    g_source_set_ready_time(tick_, g_get_monotonic_time() + std::max<std::int64_t>(0, wait.count()));
+  }
+  void fire() {
+    for (const Event& event : std::exchange(soon_, {})) step(event);
+    while (!timers_.empty()) {
+      const Timer timer = timers_.top();
+      const Time now = clock_now();
+      if (timer.at > now) break;
+      timers_.pop();
+      if ((timer.key.number & kConnectTimer) != 0) {
+        connect_overdue({timer.key.concern, static_cast<std::uint32_t>(timer.key.number)}, timer.at);
+        continue;
+      }
+      const Duration late = now - timer.at;
+      ++counters.timers;
+      if (late > std::chrono::milliseconds(5)) ++counters.timers_late_5ms;
+      if (late > std::chrono::milliseconds(20)) ++counters.timers_late_20ms;
+      counters.latest_timer = std::max(counters.latest_timer, late);
+      step(TimerFired{timer.key});
+    }
+    set_ready();
+  }
+
+  void connect_overdue(ConnId id, Time due) {
+    const auto it = connections_.find(id);
+    if (it == connections_.end() || it->second->connected || it->second->connect_due != due) return;
+    connections_.erase(it);
+    step(ConnectFailed{id, false});
+  }
+
+  // ---- reading and writing
+  void writable(ConnId id) {
+    const auto it = connections_.find(id);
+    if (it == connections_.end()) return;
+    Connection& c = *it->second;
+    if (!c.connected) {
+      c.writing.end();
+      GError* error = nullptr;
+      if (!g_socket_check_connect_result(c.socket.get(), &error)) {
+        g_clear_error(&error);
+        connections_.erase(it);
+        step(ConnectFailed{id, true});
+        return;
+      }
+      c.connected = true;
+      watch_reading(c);
+      step(Connected{id});
+    }
+    flush(id);
+  }
+
+  void flush(ConnId id) {
+    const auto it = connections_.find(id);
+    if (it == connections_.end() || !it->second->connected) return;
+    Connection& c = *it->second;
+    while (!c.out.empty()) {
+      const std::string_view bytes = c.out.contents();
+      GError* error = nullptr;
+      const gssize sent = g_socket_send(c.socket.get(), bytes.data(), bytes.size(), nullptr, &error);
+      if (sent > 0) {
+        counters.bytes_out += static_cast<std::uint64_t>(sent);
+        c.out.drop(static_cast<std::size_t>(sent));
+        continue;
+      }
+      const bool wait = g_error_matches(error, G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK);
+      g_clear_error(&error);
+      if (!wait) return lose(id, true);
+      if (c.out.size() > limits_.outbound_pause)
+        c.reading.end();  // takes no more requests than it reads answers
+      if (!c.writing.running())
+        c.writing.start(g_socket_create_source(c.socket.get(), G_IO_OUT, nullptr), &Impl::on_writable, &c);
+      return;
+    }
+    c.writing.end();
+    if (c.closing) {
+      connections_.erase(it);
+    } else {
+      watch_reading(c);
+    }
+  }
+
+  void read(ConnId id) {
+    const auto it = connections_.find(id);
+    if (it == connections_.end()) return;
+    Connection& c = *it->second;
+    if (c.in.room() == 0) return lose(id, true);  // the reducer leaves a whole ring unread: it is stuck
+    c.in.reserve(std::min(c.in.size() + 4096, limits_.inbound));
+    const std::span<char> gap = c.in.gap();
+    GError* error = nullptr;
+    const gssize got = g_socket_receive(c.socket.get(), gap.data(), gap.size(), nullptr, &error);
+    if (got > 0) {
+      counters.bytes_in += static_cast<std::uint64_t>(got);
+      c.in.filled(static_cast<std::size_t>(got));
+      step(Received{id, c.in.contents()});
+      return;
+    }
+    const bool wait = g_error_matches(error, G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK);
+    const bool reset = got < 0;
+    g_clear_error(&error);
+    if (!wait) lose(id, reset);
+  }
+
+  void lose(ConnId id, bool reset) {
+    if (connections_.erase(id) > 0) step(Closed{id, reset});
+  }
+
+  void receive_datagrams(Listener& listener) {
+    char buffer[65536];
+    for (std::size_t i = 0; i < limits_.accepted_from_each; ++i) {
+      GSocketAddress* from = nullptr;
+      const gssize got =
+          g_socket_receive_from(listener.socket.get(), &from, buffer, sizeof buffer, nullptr, nullptr);
+      if (got < 0 || from == nullptr) return;
+      const std::string peer = text_of(from);
+      g_object_unref(from);
+      counters.bytes_in += static_cast<std::uint64_t>(got);
+      step(Datagram{listener.concern, peer, std::string_view(buffer, static_cast<std::size_t>(got))});
+    }
+  }
+
+  RuntimeLimits limits_;
+  Logger logger_;
+  Reducer reducer_;
+  GMainLoop* loop_ = nullptr;
+  GSource* tick_ = nullptr;
+  std::optional<int> status_;
+  std::map<ConnId, std::unique_ptr<Connection>> connections_;
+  std::vector<std::unique_ptr<Listener>> listeners_;
+  std::priority_queue<Timer, std::vector<Timer>, std::greater<>> timers_;
+  std::uint64_t timer_order_ = 0;
+  std::uint32_t last_accepted_ = 0;
+  std::vector<ConnId> dirty_;
+  std::vector<ConnId> broken_;
+  std::vector<Event> soon_;
+};
+
+Runtime::Runtime(RuntimeLimits limits, Logger logger) : impl_(std::make_unique<Impl>(limits, logger)) {}
+Runtime::~Runtime() = default;
+int Runtime::run(Reducer reducer) { return impl_->run(std::move(reducer)); }
+const RuntimeCounters& Runtime::counters() const { return impl_->counters; }
+
+}  // namespace graniterun::net
--- /dev/null
+++ b/src/net/runtime.h
@@ -0,0 +1,51 @@
+// The runtime: GLib's main loop and GIO sockets. It does all reading and writing and decides nothing: it
+// hands events to a reducer and carries out the effects that come back.
+#pragma once
+
+#include <functional>
+#include <memory>
+
+#include "net/events.h"
+#include "net/log.h"
+
+namespace graniterun::net {
+
+struct RuntimeLimits {
+  std::size_t connections = 900;            // accepted ones beyond are closed at once
+  std::size_t inbound = 64 * 1024;          // bytes of a connection not consumed yet
+  std::size_t outbound = 512 * 1024;        // bytes of a connection not written yet; beyond: it is closed
+  std::size_t outbound_pause = 128 * 1024;  // reading from the connection waits while so many are not written
+  std::size_t accepted_from_each = 64;      // at one turn of the loop
+};
+
+struct RuntimeCounters {
+  std::uint64_t bytes_in = 0;
+  std::uint64_t bytes_out = 0;
+  std::uint64_t accepted = 0;
+  std::uint64_t turned_away = 0;
+  std::uint64_t overflowed = 0;  // closed for not reading what was sent
+  std::uint64_t timers = 0;
+  std::uint64_t timers_late_5ms = 0;
+  std::uint64_t timers_late_20ms = 0;
+  Duration latest_timer{};
+};
+
+using Reducer = std::function<void(Time now, const Event& event, Effects& effects)>;
+
+// The Unix clock's time at the start, carried on by the steady clock, so that it never runs backwards.
+Time clock_now();
+
+class Runtime {
+ public:
+  Runtime(RuntimeLimits limits, Logger logger);
+  ~Runtime();
+  // Runs until an Exit effect; returns its status.
+  int run(Reducer reducer);
+  const RuntimeCounters& counters() const;
+
+ private:
+  class Impl;
+  std::unique_ptr<Impl> impl_;
+};
+
+}  // namespace graniterun::net
--- /dev/null
+++ b/src/proto/http.cpp
@@ -0,0 +1,136 @@
+#include "proto/http.h"
+
+#include <algorithm>
+#include <cctype>
+#include <charconv>
+
+namespace graniterun::http {
+namespace {
+
+std::string lower(std::string_view text) {
+  std::string out(text);
+  std::transform(out.begin(), out.end(), out.begin(), [](unsigned char c) { return std::tolower(c); });
+  return out;
+}
+
+std::string_view strip(std::string_view text) {
+  while (!text.empty() && std::isspace(static_cast<unsigned char>(text.front()))) text.remove_prefix(1);
+  while (!text.empty() && std::isspace(static_cast<unsigned char>(text.back()))) text.remove_suffix(1);
+  return text;
+}
+
+template <class Number>
+bool parse(std::string_view text, Number& value, int base = 10) {
+  const auto [stop, error] = std::from_chars(text.data(), text.data() + text.size(), value, base);
+  return error == std::errc{} && stop == text.data() + text.size();
+}
+
+}  // namespace
+
+HeadState read_head(std::string_view bytes, Head& head) {
+  const std::size_t end = bytes.find("\r\n\r\n");
+  if (end == std::string_view::npos || end > kHeadBound)
+    return bytes.size() > kHeadBound ? HeadState::malformed : HeadState::more;
+  std::string_view rest = bytes.substr(0, end + 2);
+  bool first = true;
+  while (!rest.empty()) {
+    const std::size_t stop = rest.find("\r\n");
+    const std::string_view line = rest.substr(0, stop);
+    rest.remove_prefix(stop + 2);
+    if (first) {
+      first = false;
+      if (!line.starts_with("HTTP/1.") || line.size() < 12 || !parse(line.substr(9, 3), head.status))
+        return HeadState::malformed;
+      continue;
+    }
+    const std::size_t colon = line.find(':');
+    if (colon == std::string_view::npos) return HeadState::malformed;
+    const std::string name = lower(strip(line.substr(0, colon)));
+    const std::string_view value = strip(line.substr(colon + 1));
+    if (name == "transfer-encoding") head.chunked = lower(value) == "chunked";
+    if (name == "connection") head.closes = lower(value) == "close";
+    if (name == "content-length") {
+      std::size_t length = 0;
+      if (!parse(value, length)) return HeadState::malformed;
+      head.length = length;
+    }
+  }
+  head.size = end + 4;
+  return HeadState::whole;
+}
+
+std::optional<std::size_t> Body::take(std::string_view bytes, std::string& body) {
+  std::size_t used = 0;
+  while (used < bytes.size() && !done_) {
+    const std::string_view rest = bytes.substr(used);
+    if (!chunked_) {
+      const std::size_t part = left_ ? std::min(*left_, rest.size()) : rest.size();
+      body.append(rest.substr(0, part));
+      used += part;
+      if (left_ && (*left_ -= part) == 0) done_ = true;
+      if (part == 0) break;
+      continue;
+    }
+    if (chunk_ > 0) {
+      const std::size_t part = std::min(chunk_, rest.size());
+      body.append(rest.substr(0, part));
+      chunk_ -= part;
+      used += part;
+      chunk_end_ = chunk_ == 0;
+      continue;
+    }
+    const std::size_t stop = rest.find("\r\n");
+    if (stop == std::string_view::npos) {
+      if (rest.size() > 256) return std::nullopt;
+      break;
+    }
+    const std::string_view line = rest.substr(0, stop);
+    used += stop + 2;
+    if (chunk_end_) {
+      if (!line.empty()) return std::nullopt;
+      chunk_end_ = false;
+    } else if (trailer_) {
+      done_ = line.empty();
+    } else {
+      if (!parse(strip(line.substr(0, line.find(';'))), chunk_, 16)) return std::nullopt;
+      trailer_ = chunk_ == 0;
+    }
+  }
+  return used;
+}
+
+std::optional<ServerSentEvent> take_event(std::string& text) {
+  ServerSentEvent event;
+  bool any = false;
+  std::size_t at = 0;
+  while (true) {
+    const std::size_t end = text.find('\n', at);
+    if (end == std::string::npos) return std::nullopt;  // the event is not whole: leave it
+    std::string_view line = std::string_view(text).substr(at, end - at);
+    if (!line.empty() && line.back() == '\r') line.remove_suffix(1);
+    at = end + 1;
+    if (line.empty()) {
+      text.erase(0, at);
+      at = 0;
+      if (any) return event;
+      continue;
+    }
+    const std::size_t colon = line.find(':');
+    const std::string_view name = line.substr(0, colon);
+    std::string_view value = colon == std::string_view::npos ? std::string_view{} : line.substr(colon + 1);
+    if (value.starts_with(' ')) value.remove_prefix(1);
+    if (name == "id") {
+      event.id = value;
+      any = true;
+    } else if (name == "data") {
+      if (!event.data.empty()) event.data += '\n';
+      event.data += value;
+      any = true;
+    } else if (colon == 0 && !any) {  // a comment on its own: nothing waits for an empty line
+      text.erase(0, at);
+      at = 0;
+    }
+  }
+}
+
+}  // namespace graniterun::http
--- /dev/null
+++ b/src/proto/jsonl.cpp
@@ -0,0 +1,113 @@
+#include "proto/jsonl.h"
+
+#include <algorithm>
+#include <charconv>
+#include <nlohmann/json.hpp>
+
+namespace graniterun::jsonl {
+namespace {
+
+using nlohmann::json;
+
+// The id in a line that is not JSON, so that its call can be refused by name.
+std::string id_in(std::string_view line) {
+  constexpr std::string_view kMark = "\"id\":\"";
+  const std::size_t at = line.find(kMark);
+  if (at == std::string_view::npos) return {};
+  const std::string_view id = line.substr(at + kMark.size(), 16);
+  return is_id(id) ? std::string(id) : std::string();
+}
+
+// Reads a parsed line; returns what is wrong with it.
+std::string take_object(const json& object, Message& m) {
+  if (!object.is_object()) return "the line is not an object";
+  const auto id = object.find("id");
+  if (id != object.end() && id->is_string() && is_id(id->get_ref<const std::string&>())) m.id = *id;
+  const auto type = object.find("type");
+  if (type == object.end() || !type->is_string()) return "there is no type";
+  m.type = *type;
+  if (m.id.empty()) return "the id is not 16 hex digits";
+  if (const auto fields = object.find("fields"); fields != object.end()) {
+    if (!fields->is_object()) return "the fields are not an object";
+    for (const auto& [name, value] : fields->items()) {
+      if (value.is_string()) {
+        m.fields.emplace(name, value.get<std::string>());
+      } else if (value.is_number()) {
+        m.fields.emplace(name, value.dump());
+      } else {
+        return "a field is neither text nor a number";
+      }
+    }
+  }
+  if (const auto cause = object.find("cause"); cause != object.end() && !cause->is_null()) {
+    if (!cause->is_number_integer()) return "the cause is not a whole number";
+    m.cause = static_cast<int>(cause->get<std::int64_t>());
+  }
+  if (const auto text = object.find("sdp"); text != object.end() && !text->is_null()) {
+    if (!text->is_string()) return "the description is not text";
+    m.description = text->get<std::string>();
+  }
+  return {};
+}
+
+}  // namespace
+
+bool is_id(std::string_view text) { return text.size() == 16 && number_of_hex(text).has_value(); }
+
+std::optional<std::uint64_t> number_of_hex(std::string_view text) {
+  std::uint64_t value = 0;
+  const auto [stop, error] = std::from_chars(text.data(), text.data() + text.size(), value, 16);
+  if (text.empty() || error != std::errc{} || stop != text.data() + text.size()) return std::nullopt;
+  return value;
+}
+
+std::string_view Message::field(std::string_view name) const {
+  const auto it = fields.find(name);
+  return it == fields.end() ? std::string_view{} : it->second;
+}
+
+std::string Message::text() const {
+  json object = {{"type", type}, {"id", id}, {"fields", json::object()}};
+  for (const auto& [name, value] : fields) object["fields"][name] = value;
+  if (cause) object["cause"] = *cause;
+  if (description) object["sdp"] = *description;
+  // What is not UTF-8 must not end the program.
+  return object.dump(-1, ' ', false, json::error_handler_t::replace) + '\n';
+}
+
+ReadResult read(std::string_view bytes) {
+  ReadResult result;
+  const std::size_t end = bytes.substr(0, kLineBound).find('\n');
+  if (end == std::string_view::npos) {
+    if (bytes.size() < kLineBound) {
+      result.state = ReadState::more;
+      return result;
+    }
+    result.state = ReadState::malformed;
+    result.message.id = id_in(bytes.substr(0, kLineBound));
+    result.trouble = "the line is over 16 KiB";
+    result.lost = true;
+    return result;
+  }
+  const std::string_view line = bytes.substr(0, end);
+  result.used = end + 1;
+  result.state = ReadState::message;
+  if (line.find_first_not_of(" \t\r") == std::string_view::npos) {
+    ReadResult rest = read(bytes.substr(result.used));
+    rest.used += result.used;
+    return rest;
+  }
+  // Nesting is bounded: the parser's stack must not be.
+  const auto depth = std::count_if(line.begin(), line.end(), [](char c) { return c == '{' || c == '['; });
+  const json object = depth > 64 ? json(json::value_t::discarded) : json::parse(line, nullptr, false);
+  if (object.is_discarded()) {
+    result.trouble = "the line is not JSON";
+    result.message.id = id_in(line);
+  } else {
+    result.trouble = take_object(object, result.message);
+  }
+  if (!result.trouble.empty()) result.state = ReadState::malformed;
+  return result;
+}
+
+}  // namespace graniterun::jsonl
--- /dev/null
+++ b/src/proto/sip.cpp
@@ -0,0 +1,260 @@
+#include "proto/sip.h"
+
+#include <algorithm>
+#include <cctype>
+#include <charconv>
+
+namespace graniterun::sip {
+namespace {
+
+constexpr std::pair<std::string_view, std::string_view> kCompact[] = {
+    {"v", "Via"},     {"f", "From"},           {"t", "To"},           {"i", "Call-ID"},
+    {"m", "Contact"}, {"l", "Content-Length"}, {"c", "Content-Type"}, {"e", "Content-Encoding"},
+    {"s", "Subject"}, {"k", "Supported"},
+};
+
+std::string_view full_name(std::string_view name) {
+  if (name.size() != 1) return name;
+  for (const auto& [compact, full] : kCompact) {
+    if (same_word(compact, name)) return full;
+  }
+  return name;
+}
+
+bool is_token(std::string_view text) {
+  return !text.empty() && std::all_of(text.begin(), text.end(), [](unsigned char c) {
+    return std::isalnum(c) ||
+           std::string_view("-.!%*_+`'~").find(static_cast<char>(c)) != std::string_view::npos;
+  });
+}
+
+template <class Number>
+std::optional<Number> number_in(std::string_view text) {
+  Number value{};
+  const auto [stop, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+  if (error != std::errc{} || stop != text.data() + text.size()) return std::nullopt;
+  return value;
+}
+
+// Takes the next line off `text`, without its end.
+std::string_view take_line(std::string_view& text) {
+  const std::size_t end = text.find('\n');
+  std::string_view line = text.substr(0, end);
+  text.remove_prefix(end == std::string_view::npos ? text.size() : end + 1);
+  if (!line.empty() && line.back() == '\r') line.remove_suffix(1);
+  return line;
+}
+
+std::string read_first_line(std::string_view line, Message& m) {
+  constexpr std::string_view kVersion = "SIP/2.0";
+  if (line.starts_with(kVersion) && line.size() > kVersion.size() && line[kVersion.size()] == ' ') {
+    line.remove_prefix(kVersion.size() + 1);
+    const auto status = number_in<int>(line.substr(0, 3));
+    if (!status || *status < 100 || *status > 699 || (line.size() > 3 && line[3] != ' '))
+      return "the status is not one of 100 to 699";
+    m.status = *status;
+    if (line.size() > 4) m.phrase = line.substr(4);
+    return {};
+  }
+  const std::size_t first = line.find(' ');
+  const std::size_t last = line.rfind(' ');
+  if (first == std::string_view::npos || last == first || !is_token(line.substr(0, first)))
+    return "the first line is neither a request's nor an answer's";
+  m.method = line.substr(0, first);
+  m.uri = line.substr(first + 1, last - first - 1);
+  if (line.substr(last + 1) != kVersion) return "the version is not SIP/2.0";
+  if (m.uri.empty() || m.uri.find(' ') != std::string::npos) return "the URI holds a space";
+  return {};
+}
+
+// The first line and the headers, up to the empty line. Goes on after what is malformed, so that a refusal
+// can name the transaction.
+std::string read_head(std::string_view head, Message& m) {
+  std::string trouble = read_first_line(take_line(head), m);
+  while (!head.empty()) {
+    const std::string_view line = take_line(head);
+    if (line.empty()) break;
+    if ((line.front() == ' ' || line.front() == '\t') && !m.headers.empty()) {  // a folded line
+      m.headers.back().second.append(" ").append(trim(line));
+      continue;
+    }
+    const std::size_t colon = line.find(':');
+    const std::string_view name = trim(line.substr(0, colon));
+    if (colon == std::string_view::npos || !is_token(name)) {
+      if (trouble.empty()) trouble = "a header line has no name";
+      continue;
+    }
+    m.add(std::string(full_name(name)), std::string(trim(line.substr(colon + 1))));
+  }
+  return trouble;
+}
+
+std::size_t head_end(std::string_view bytes) {
+  const std::size_t crlf = bytes.find("\r\n\r\n");
+  const std::size_t lf = bytes.find("\n\n");
+  return std::min(crlf == std::string_view::npos ? crlf : crlf + 4,
+                  lf == std::string_view::npos ? lf : lf + 2);
+}
+
+ReadResult malformed(ReadResult result, std::string trouble, bool lost) {
+  result.state = ReadState::malformed;
+  result.trouble = std::move(trouble);
+  result.lost = lost;
+  return result;
+}
+
+}  // namespace
+
+std::string_view trim(std::string_view text) {
+  while (!text.empty() && (text.front() == ' ' || text.front() == '\t')) text.remove_prefix(1);
+  while (!text.empty() && (text.back() == ' ' || text.back() == '\t')) text.remove_suffix(1);
+  return text;
+}
+
+bool same_word(std::string_view a, std::string_view b) {
+  return a.size() == b.size() &&
+         std::equal(a.begin(), a.end(), b.begin(),
+                    [](unsigned char x, unsigned char y) { return std::tolower(x) == std::tolower(y); });
+}
+
+std::string_view Message::header(std::string_view name) const {
+  for (const auto& [n, value] : headers) {
+    if (same_word(n, name)) return value;
+  }
+  return {};
+}
+
+std::vector<std::string_view> Message::all(std::string_view name) const {
+  std::vector<std::string_view> values;
+  for (const auto& [n, value] : headers) {
+    if (same_word(n, name)) values.push_back(value);
+  }
+  return values;
+}
+
+void Message::set(std::string_view name, std::string value) {
+  std::erase_if(headers, [name](const auto& h) { return same_word(h.first, name); });
+  add(std::string(name), std::move(value));
+}
+
+std::string Message::text() const {
+  std::string out = is_request() ? method + " " + uri + " SIP/2.0\r\n"
+                                 : "SIP/2.0 " + std::to_string(status) + " " + phrase + "\r\n";
+  for (const auto& [name, value] : headers) {
+    if (!same_word(name, "Content-Length")) out.append(name).append(": ").append(value).append("\r\n");
+  }
+  return out.append("Content-Length: ").append(std::to_string(body.size())).append("\r\n\r\n").append(body);
+}
+
+std::optional<CSeq> cseq_of(const Message& m) {
+  const std::string_view value = m.header("CSeq");
+  const std::size_t space = value.find_first_of(" \t");
+  if (space == std::string_view::npos) return std::nullopt;
+  const auto number = number_in<std::uint32_t>(value.substr(0, space));
+  const std::string_view method = trim(value.substr(space));
+  if (!number || !is_token(method)) return std::nullopt;
+  return CSeq{*number, method};
+}
+
+std::string_view parameter(std::string_view value, std::string_view name) {
+  const std::size_t bracket = value.find('>');  // parameters inside <> belong to the URI
+  if (bracket != std::string_view::npos) value.remove_prefix(bracket + 1);
+  for (std::size_t at = value.find(';'); at != std::string_view::npos; at = value.find(';')) {
+    value.remove_prefix(at + 1);
+    const std::string_view piece = trim(value.substr(0, value.find(';')));
+    const std::size_t equals = piece.find('=');
+    if (same_word(trim(piece.substr(0, equals)), name))
+      return equals == std::string_view::npos ? std::string_view{} : trim(piece.substr(equals + 1));
+  }
+  return {};
+}
+
+std::string_view uri_in(std::string_view value) {
+  const std::size_t open = value.find('<');
+  if (open == std::string_view::npos) return trim(value.substr(0, value.find(';')));
+  const std::size_t close = value.find('>', open);
+  return close == std::string_view::npos ? std::string_view{} : value.substr(open + 1, close - open - 1);
+}
+
+std::string_view user_of(std::string_view uri) {
+  const std::size_t colon = uri.find(':');
+  const std::size_t at = uri.find('@');
+  if (colon == std::string_view::npos || at == std::string_view::npos || at < colon) return {};
+  const std::string_view user = uri.substr(colon + 1, at - colon - 1);
+  return user.substr(0, user.find(':'));
+}
+
+std::string_view host_of(std::string_view uri) {
+  const std::size_t colon = uri.find(':');
+  const std::size_t at = uri.find('@');
+  if (at != std::string_view::npos) {
+    uri.remove_prefix(at + 1);
+  } else if (colon != std::string_view::npos) {
+    uri.remove_prefix(colon + 1);
+  }
+  return uri.substr(0, uri.find_first_of(";?>"));
+}
+
+ReadResult read_stream(std::string_view bytes) {
+  ReadResult result;
+  std::size_t skipped = 0;
+  while (skipped < bytes.size() && (bytes[skipped] == '\r' || bytes[skipped] == '\n')) ++skipped;
+  const std::string_view rest = bytes.substr(skipped);
+  const std::size_t head = head_end(rest.substr(0, kMessageBound));
+  if (head == std::string_view::npos) {
+    result.used = skipped;
+    if (rest.size() >= kMessageBound) {
+      read_head(rest.substr(0, kMessageBound), result.message);
+      return malformed(std::move(result), "the headers are over 16 KiB", true);
+    }
+    result.state = ReadState::more;
+    return result;
+  }
+  std::string trouble = read_head(rest.substr(0, head), result.message);
+  const auto lengths = result.message.all("Content-Length");
+  // Over a stream the length is what parts messages: without it nothing after this one can be read.
+  if (lengths.empty()) return malformed(std::move(result), "there is no Content-Length", true);
+  const auto length = number_in<std::size_t>(lengths.front());
+  const bool differ =
+      std::any_of(lengths.begin(), lengths.end(), [&](auto l) { return l != lengths.front(); });
+  if (!length || differ) return malformed(std::move(result), "the Content-Length is not a number", true);
+  if (*length > kMessageBound - head) return malformed(std::move(result), "the message is over 16 KiB", true);
+  if (rest.size() < head + *length) {
+    result.used = skipped;
+    result.state = ReadState::more;
+    return result;
+  }
+  result.used = skipped + head + *length;
+  if (!trouble.empty()) return malformed(std::move(result), std::move(trouble), false);
+  result.message.body = rest.substr(head, *length);
+  result.state = ReadState::message;
+  return result;
+}
+
+ReadResult read_datagram(std::string_view bytes) {
+  ReadResult result;
+  result.used = bytes.size();
+  std::size_t skipped = 0;
+  while (skipped < bytes.size() && (bytes[skipped] == '\r' || bytes[skipped] == '\n')) ++skipped;
+  const std::string_view rest = bytes.substr(skipped);
+  if (rest.empty()) {  // a keep-alive
+    result.state = ReadState::more;
+    return result;
+  }
+  const std::size_t head = std::min(head_end(rest), rest.size());
+  std::string trouble = read_head(rest.substr(0, head), result.message);
+  if (rest.size() > kMessageBound) return malformed(std::move(result), "the message is over 16 KiB", false);
+  if (!trouble.empty()) return malformed(std::move(result), std::move(trouble), false);
+  std::string_view body = rest.substr(head);
+  if (const std::string_view value = result.message.header("Content-Length"); !value.empty()) {
+    const auto length = number_in<std::size_t>(value);
+    if (!length || *length > body.size())
+      return malformed(std::move(result), "the Content-Length does not fit the datagram", false);
+    body = body.substr(0, *length);
+  }
+  result.message.body = body;
+  result.state = ReadState::message;
+  return result;
+}
+
+}  // namespace graniterun::sip
--- a/src/wire.cpp
+++ b/src/wire.cpp
@@ -215,6 +215,7 @@
   s.callers_mark_redials = m.one_of("clients.marksRetry", kTruth);
   s.repeat_after = m.duration("familyInfo.resendNs");
   s.round = m.duration("roundNs");
+  if (m.find("limits.connectTimeoutNs")) s.connect_within = m.duration("limits.connectTimeoutNs");
   s.release_guard = m.duration("familyInfo.releaseGuardNs");
   s.drain_grace = m.duration("guarantees.stopSendingWithinNs");
   s.answer_slack = m.duration("guarantees.answerSlackNs");
@@ -264,23 +265,25 @@
   split(*value, ',', [&](std::string_view pair) {
     const std::size_t colon = pair.find(':');
     if (colon == std::string_view::npos) m.fail(field, "is not name:value pairs");
-    const std::string_view name = pair.substr(0, colon);
-    const double figure = m.parse_number<double>(field, pair.substr(colon + 1));
-    if (figure < 0) return;
-    if (name == "spare") report.free_lines = figure;
-    if (name == "total") report.lines = figure;
-    if (name == "active") report.messages_active = figure;
-    if (name == "waiting") report.messages_waiting = figure;
-    if (name == "cpu") report.busy_share = figure;
-    if (name == "avg_ms") {
-      report.wait = std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(figure));
-    }
-    if (name == "allowed") report.allowed_per_s = figure;
-    if (name == "cut_by") report.hold_back_share = figure;
+    note_value(report, pair.substr(0, colon), m.parse_number<double>(field, pair.substr(colon + 1)));
   });
   return report;
 }
 
+void note_value(LoadReport& report, std::string_view name, double figure) {
+  if (!(figure >= 0)) return;
+  if (name == "spare" || name == "x0") report.free_lines = figure;
+  if (name == "total" || name == "x1") report.lines = figure;
+  if (name == "active" || name == "inflight") report.messages_active = figure;
+  if (name == "waiting" || name == "queue") report.messages_waiting = figure;
+  if (name == "cpu" || name == "util") report.busy_share = figure;
+  if ((name == "avg_ms" || name == "latency_ms") && figure < 1e9) {
+    report.wait = std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(figure));
+  }
+  if (name == "allowed" || name == "qps") report.allowed_per_s = figure;
+  if (name == "cut_by" || name == "eps") report.hold_back_share = figure;
+}
+
 // ---- Host
 
 ServerId Host::Instance::id_of(std::string_view address) {
--- a/src/wire.h
+++ b/src/wire.h
@@ -80,6 +80,9 @@
 // The values of a load report, `names` apart; -1 stands for a value that is not told.
 LoadReport parse_report(const Message& message, std::string_view field);
 
+// One value of a report, under the simulator's name for it or the sockets'. Below 0: not told.
+void note_value(LoadReport& report, std::string_view name, double figure);
+
 // Hosts the controllers of one process and speaks the wire for them.
 class Host {
  public:
