--- a/src/app/gatekeeper.cpp
+++ b/src/app/gatekeeper.cpp
@@ -19,6 +19,26 @@
   using Fs::operator()...;
 };
 
+front::SipFrontSettings sip_settings(const PlatformConfig& config, const DeployConfig& deploy) {
+  front::SipFrontSettings s;
+  s.udp = deploy.sip_udp;
+  s.tcp = deploy.sip_tcp;
+  s.class_names = config.class_names;
+  s.seed = config.seed;
+  const auto& classes = config.settings.classes;
+  for (const CallClass& c : classes) s.patience.push_back(c.patience);
+  const auto by_worth = [](const CallClass& a, const CallClass& b) { return a.worth < b.worth; };
+  s.emergency_class =
+      static_cast<std::size_t>(std::max_element(classes.begin(), classes.end(), by_worth) - classes.begin());
+  s.default_class =
+      static_cast<std::size_t>(std::min_element(classes.begin(), classes.end(), by_worth) - classes.begin());
+  return s;
+}
+
+otlp::ExporterSettings exporter_settings(const PlatformConfig& config, const DeployConfig& deploy) {
+  return {deploy.collector, deploy.collector_host, config.name, deploy.export_every, config.seed};
+}
+
 }  // namespace
 
 Gatekeeper::Gatekeeper(const PlatformConfig& config, const DeployConfig& deploy,
@@ -28,14 +48,18 @@
       more_counters_(std::move(more_counters)),
       broker_(config.settings, config.seed, core::Contracts(deploy.contracts), counters_),
       platform_(config.class_names, counters_),
+      sip_(sip_settings(config, deploy), counters_),
       servers_(config.settings, config.areas, counters_),
-      journal_(config.journal, config.known_position, counters_) {}
+      journal_(config.journal, config.known_position, counters_),
+      exporter_(exporter_settings(config, deploy), counters_) {}
 
 void Gatekeeper::step(Time now, const net::Event& event, net::Effects& effects) {
   Outbox out;
   std::visit([&](const auto& e) { on(now, e, out); }, event);
   settle(now, out);
-  platform_.ready(!stop_asked_ && servers_.ready());
+  const bool ready = !stop_asked_ && servers_.ready();
+  platform_.ready(ready);
+  sip_.ready(ready);
   finish_if_drained(now, out);
   effects = std::move(out.net);
 }
@@ -58,8 +82,16 @@
                  [&](const core::ReleaseServer& e) { servers_.apply(now, e, out); },
                  [&](const core::SetAlarm& e) { out.arm(net::Concern::broker, e.timer, e.at); },
                  [&](const core::Note& e) { out.log(net::Level::info, e.text); },
-                 [&](const core::RequestAnswered&) {},
-                 [&](const auto& e) { platform_.apply(e, out); },
+                 [&](const core::RequestAnswered& e) {
+                   exporter_.note(now, e, [this](ServerId id) { return servers_.name_of(id); });
+                 },
+                 [&](const auto& e) {  // to the caller, by the front that it came by
+                   if (core::front_of(e.call) == core::Front::sip) {
+                     sip_.apply(now, e, out);
+                   } else {
+                     platform_.apply(e, out);
+                   }
+                 },
              },
              effect);
 }
@@ -80,21 +112,28 @@
                   out);
   }
   journal_.start(now, out);
+  sip_.start(out);
+  exporter_.start(now, out);
   out.log(net::Level::info, config_.name + " listens on " + config_.listen);
 }
 
 void Gatekeeper::on(Time now, const net::Accepted& e, Outbox& out) {
   if (e.conn.concern == net::Concern::platform) platform_.on(now, e, out);
+  if (e.conn.concern == net::Concern::sip) sip_.on(now, e, out);
 }
 
 void Gatekeeper::on(Time now, const net::Connected& e, Outbox& out) {
   if (e.conn.concern == net::Concern::server) servers_.on(now, e, out);
   if (e.conn.concern == net::Concern::journal) journal_.on(now, e, out);
+  if (e.conn.concern == net::Concern::sip) sip_.on(now, e, out);
+  if (e.conn.concern == net::Concern::collector) exporter_.on(now, e, out);
 }
 
 void Gatekeeper::on(Time now, const net::ConnectFailed& e, Outbox& out) {
   if (e.conn.concern == net::Concern::server) servers_.on(now, e, out);
   if (e.conn.concern == net::Concern::journal) journal_.on(now, e, out);
+  if (e.conn.concern == net::Concern::sip) sip_.on(now, e, out);
+  if (e.conn.concern == net::Concern::collector) exporter_.on(now, e, out);
 }
 
 void Gatekeeper::on(Time now, const net::Received& e, Outbox& out) {
@@ -107,20 +146,28 @@
     for (const HostList& list : journal_.on(now, e, out))
       servers_.take(now, list, list.whole ? ListKind::all : ListKind::changes, out);
   }
+  if (e.conn.concern == net::Concern::sip) sip_.on(now, e, out);
+  if (e.conn.concern == net::Concern::collector) exporter_.on(now, e, out);
 }
 
 void Gatekeeper::on(Time now, const net::Closed& e, Outbox& out) {
   if (e.conn.concern == net::Concern::platform) platform_.on(now, e, out);
   if (e.conn.concern == net::Concern::server) servers_.on(now, e, out);
   if (e.conn.concern == net::Concern::journal) journal_.on(now, e, out);
+  if (e.conn.concern == net::Concern::sip) sip_.on(now, e, out);
+  if (e.conn.concern == net::Concern::collector) exporter_.on(now, e, out);
 }
 
-void Gatekeeper::on(Time, const net::Datagram&, Outbox&) {}
+void Gatekeeper::on(Time now, const net::Datagram& e, Outbox& out) {
+  if (e.concern == net::Concern::sip) sip_.on(now, e, out);
+}
 
 void Gatekeeper::on(Time now, const net::TimerFired& e, Outbox& out) {
   if (e.key.concern == net::Concern::broker) out.tell(core::TimerRang{e.key.number});
   if (e.key.concern == net::Concern::server) servers_.on(now, e, out);
   if (e.key.concern == net::Concern::journal) journal_.on(now, e, out);
+  if (e.key.concern == net::Concern::sip) sip_.on(now, e, out);
+  if (e.key.concern == net::Concern::collector) exporter_.on(now, e, all_counters(), out);
   if (e.key.concern == net::Concern::process) out.arm(net::Concern::process, 0, now + kLook);
 }
 
@@ -142,10 +189,15 @@
   out.net.push_back(net::Exit{0});
 }
 
-std::string Gatekeeper::counters_text() {
+Counters Gatekeeper::all_counters() const {
   Counters all = counters_;
   if (more_counters_) more_counters_(all);
+  return all;
+}
+
+std::string Gatekeeper::counters_text() const {
   std::string text;
+  const Counters all = all_counters();
   for (const auto& [name, value] : all.all()) text += name + " " + std::to_string(value) + "\n";
   return text;
 }
--- a/src/app/gatekeeper.h
+++ b/src/app/gatekeeper.h
@@ -12,6 +12,8 @@
 #include "config/config.h"
 #include "core/broker.h"
 #include "front/platform.h"
+#include "front/sip.h"
+#include "otlp/exporter.h"
 
 namespace graniterun {
 
@@ -38,7 +40,8 @@
   void settle(Time now, Outbox& out);
   void apply(Time now, const core::Effect& effect, Outbox& out);
   void finish_if_drained(Time now, Outbox& out);
-  std::string counters_text();
+  Counters all_counters() const;
+  std::string counters_text() const;
 
   PlatformConfig config_;
   DeployConfig deploy_;
@@ -46,8 +49,10 @@
   Counters counters_;
   core::Broker broker_;
   front::Platform platform_;
+  front::Sip sip_;
   back::SetupServers servers_;
   back::Journal journal_;
+  otlp::Exporter exporter_;
   std::optional<Time> stop_asked_{};
 };
 
--- /dev/null
+++ b/src/core/words.h
@@ -0,0 +1,26 @@
+// Words of 16 hex digits that nobody else is likely to use: call ids, tags, branches, spans.
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+namespace graniterun {
+
+class Words {
+ public:
+  explicit Words(std::uint64_t seed) : state_(seed) {}
+  std::string next() {  // SplitMix64
+    std::uint64_t z = (state_ += 0x9e3779b97f4a7c15U);
+    z = (z ^ (z >> 30)) * 0xbf58476d1ce4e5b9U;
+    z = (z ^ (z >> 27)) * 0x94d049bb133111ebU;
+    z ^= z >> 31;
+    std::string word(16, '0');
+    for (std::size_t i = 0; i < 16; ++i) word[15 - i] = "0123456789abcdef"[z >> (4 * i) & 15];
+    return word;
+  }
+
+ private:
+  std::uint64_t state_;
+};
+
+}  // namespace graniterun
--- /dev/null
+++ b/src/front/sip.cpp
@@ -0,0 +1,471 @@
+#include "front/sip.h"
+
+#include <algorithm>
+#include <charconv>
+
+#include "proto/jsonl.h"
+
+namespace graniterun::front {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr std::string_view kAllow = "INVITE, ACK, CANCEL, BYE, OPTIONS";
+constexpr std::size_t kMostCalls = 20000;
+constexpr Duration kNotReady = 2s;
+
+const char* const kOthersKnown[] = {"REGISTER", "SUBSCRIBE", "NOTIFY", "MESSAGE", "INFO",
+                                    "PRACK",    "UPDATE",    "REFER",  "PUBLISH"};
+
+std::string retry_after(Duration wait) {
+  return std::to_string(std::max<std::int64_t>(1, std::chrono::ceil<std::chrono::seconds>(wait).count()));
+}
+
+// What makes a request unfit for any answer but 400 (§8.1.1).
+std::string missing_header(const sip::Message& m) {
+  for (const std::string_view name : {"Via", "From", "To", "Call-ID", "CSeq"}) {
+    if (m.header(name).empty()) return "there is no " + std::string(name);
+  }
+  const auto cseq = sip::cseq_of(m);
+  if (!cseq) return "CSeq is malformed";
+  if (m.is_request() && cseq->method != m.method) return "CSeq names another method";
+  if (sip::parameter(m.header("From"), "tag").empty()) return "From has no tag";
+  return {};
+}
+
+std::string dialog_key(std::string_view call_id, std::string_view local_tag, std::string_view remote_tag) {
+  return std::string(call_id).append("|").append(local_tag).append("|").append(remote_tag);
+}
+
+std::string merge_key(const sip::Message& m) {
+  return std::string(m.header("Call-ID"))
+      .append("|")
+      .append(sip::parameter(m.header("From"), "tag"))
+      .append("|")
+      .append(m.header("CSeq"));
+}
+
+// FNV-1a: the same number for the same text everywhere.
+std::uint64_t hash(std::string_view text) {
+  std::uint64_t value = 0xcbf29ce484222325U;
+  for (const char c : text) value = (value ^ static_cast<unsigned char>(c)) * 0x100000001b3U;
+  return value;
+}
+
+std::optional<std::int64_t> whole_number(std::string_view text) {
+  std::int64_t value = 0;
+  const auto [stop, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+  if (text.empty() || error != std::errc{} || stop != text.data() + text.size() || value < 0)
+    return std::nullopt;
+  return value;
+}
+
+// Where the answers to a datagram go (§18.2.2, RFC 3581), noted in its top Via as well.
+sip::Flow note_source(const sip::Flow& flow, sip::Message& m) {
+  sip::Flow back = flow;
+  for (auto& [name, value] : m.headers) {
+    if (!sip::same_word(name, "Via")) continue;
+    const std::string_view first = std::string_view(value).substr(0, value.find(','));
+    const std::size_t space = first.find_first_of(" \t");
+    const std::string by(sip::trim(first.substr(space == std::string_view::npos ? first.size() : space)));
+    const std::string sent_by(sip::trim(std::string_view(by).substr(0, by.find(';'))));
+    if (flow.reliable) {
+      back.peer = sip::address_in(sent_by);  // should the connection be gone
+      break;
+    }
+    const std::size_t colon = flow.peer.rfind(':');
+    const std::string host = flow.peer.substr(0, colon);
+    const std::string port = flow.peer.substr(colon + 1);
+    const std::size_t rport = first.find(";rport");
+    const bool wants_port = rport != std::string_view::npos;
+    std::string noted(first);
+    if (wants_port && sip::parameter(first, "rport").empty()) noted.insert(rport + 6, "=" + port);
+    noted += ";received=" + host;
+    if (!wants_port) {
+      const std::size_t named = sent_by.rfind(':');
+      back.peer = host + ":" + (named == std::string::npos ? "5060" : sent_by.substr(named + 1));
+    }
+    value.replace(0, first.size(), noted);
+    break;
+  }
+  return back;
+}
+
+}  // namespace
+
+Sip::Sip(SipFrontSettings settings, Counters& counters)
+    : settings_(std::move(settings)),
+      counters_(counters),
+      transport_(net::Concern::sip, counters),
+      transactions_(net::Concern::sip, transport_, counters),
+      words_(settings_.seed) {}
+
+void Sip::start(Outbox& out) const {
+  if (settings_.udp) out.net.push_back(net::Bind{net::Concern::sip, *settings_.udp});
+  if (settings_.tcp) out.net.push_back(net::Listen{net::Concern::sip, *settings_.tcp});
+}
+
+// ---- what comes in
+
+void Sip::on(Time, const net::Accepted& e, Outbox&) {
+  counters_.add("sip.connections");
+  transport_.accepted(e.conn.number);
+}
+void Sip::on(Time, const net::Connected& e, Outbox& out) { transport_.connected(e.conn.number, out); }
+void Sip::on(Time, const net::ConnectFailed& e, Outbox&) { transport_.connect_failed(e.conn.number); }
+void Sip::on(Time, const net::Closed& e, Outbox&) { transport_.closed(e.conn.number); }
+
+void Sip::on(Time now, const net::Received& e, Outbox& out) {
+  for (sip::Incoming& incoming : transport_.received(e, out)) take(now, std::move(incoming), out);
+}
+
+void Sip::on(Time now, const net::Datagram& e, Outbox& out) { take(now, transport_.datagram(e), out); }
+
+void Sip::take(Time now, sip::Incoming incoming, Outbox& out) {
+  if (incoming.read.state == sip::ReadState::more) return;
+  counters_.add("sip.messages_in");
+  sip::Message& m = incoming.read.message;
+  if (incoming.read.state == sip::ReadState::message) {
+    if (std::string trouble = missing_header(m); !trouble.empty()) {
+      incoming.read.state = sip::ReadState::malformed;
+      incoming.read.trouble = std::move(trouble);
+    }
+  }
+  if (incoming.read.state == sip::ReadState::malformed) return refuse_malformed(incoming, out);
+  if (m.is_request()) {
+    const sip::Flow flow = note_source(incoming.flow, m);
+    return take_request(now, flow, m, out);
+  }
+  transactions_.take_answer(now, m, out);  // to our BYE: nothing follows from it
+}
+
+// 400 where the transaction can be read; else a stream is closed and a datagram dropped.
+void Sip::refuse_malformed(const sip::Incoming& incoming, Outbox& out) {
+  counters_.add("sip.malformed");
+  out.log(net::Level::warning, "a SIP message is refused: " + incoming.read.trouble);
+  sip::Message m = incoming.read.message;
+  const bool answerable = m.is_request() && !m.method.empty() && m.method != "ACK" &&
+                          !m.header("Via").empty() && !m.header("Call-ID").empty() &&
+                          !m.header("CSeq").empty();
+  if (answerable) {
+    const sip::Flow flow = note_source(incoming.flow, m);
+    sip::Message refusal = sip::answer_to(m, 400, sip::phrase_of(400), words_.next());
+    refusal.add("Warning", "399 graniterun \"" + incoming.read.trouble + "\"");
+    transport_.send(flow, refusal.text(), out);
+  }
+  if (incoming.flow.reliable && (incoming.read.lost || !answerable))
+    transport_.close(incoming.flow.conn, out);
+}
+
+void Sip::take_request(Time now, const sip::Flow& flow, const sip::Message& m, Outbox& out) {
+  std::string key;
+  switch (transactions_.take_request(now, flow, m, key, out)) {
+    case sip::Transactions::Taken::absorbed:
+      return;
+    case sip::Transactions::Taken::ack:
+      return ack(now, m, out);
+    case sip::Transactions::Taken::fresh:
+      break;
+  }
+  if (m.method == "CANCEL") return cancel(now, key, m, out);
+  if (m.header("Max-Forwards") == "0" && m.method != "OPTIONS") return refuse(now, key, 483, out);
+  const bool in_dialog = !sip::parameter(m.header("To"), "tag").empty();
+  if (const std::string_view required = m.header("Require"); !required.empty()) {
+    sip::Message refusal = sip::answer_to(m, 420, sip::phrase_of(420), words_.next());
+    refusal.add("Unsupported", std::string(required));
+    return transactions_.respond(now, key, refusal, out);
+  }
+  if (m.method == "INVITE") {
+    if (!in_dialog) return invite(now, key, flow, m, out);
+    Call* call = find(dialog_of(m));
+    return call == nullptr ? refuse(now, key, 481, out) : reinvite(now, key, *call, m, out);
+  }
+  if (m.method == "BYE") return bye(now, key, m, out);
+  if (m.method == "OPTIONS") {
+    sip::Message answer =
+        sip::answer_to(m, ready_ ? 200 : 503, sip::phrase_of(ready_ ? 200 : 503), words_.next());
+    answer.add("Allow", std::string(kAllow));
+    answer.add("Accept", "application/sdp");
+    if (!ready_) answer.add("Retry-After", retry_after(kNotReady));
+    return transactions_.respond(now, key, answer, out);
+  }
+  const bool known = std::any_of(std::begin(kOthersKnown), std::end(kOthersKnown),
+                                 [&](const char* name) { return m.method == name; });
+  counters_.add("sip.unknown_methods");
+  refuse(now, key, known ? 405 : 501, out);
+}
+
+void Sip::refuse(Time now, const std::string& key, int status, Outbox& out, std::string warning) {
+  const sip::Message* request = transactions_.request_of(key);
+  if (request == nullptr) return;
+  sip::Message m = sip::answer_to(*request, status, sip::phrase_of(status), words_.next());
+  if (status == 405 || status == 501) m.add("Allow", std::string(kAllow));
+  if (!warning.empty()) m.add("Warning", "399 graniterun \"" + warning + "\"");
+  transactions_.respond(now, key, m, out);
+}
+
+// ---- new calls
+
+void Sip::invite(Time now, const std::string& key, const sip::Flow& flow, const sip::Message& m,
+                 Outbox& out) {
+  counters_.add("sip.invites");
+  while (!merged_order_.empty() && now - merged_order_.front().first > 2 * sip::k64T1) {
+    merged_.erase(merged_order_.front().second);
+    merged_order_.pop_front();
+  }
+  // The same request by another way, or so late that its transaction is gone: it must not ring twice.
+  const std::string merge = merge_key(m);
+  if (!merged_.emplace(merge, key).second) {
+    counters_.add("sip.merged");
+    return refuse(now, key, 482, out);
+  }
+  merged_order_.emplace_back(now, merge);
+
+  core::Request request;
+  if (std::string trouble = read_request(now, m, request); !trouble.empty()) {
+    counters_.add("sip.malformed");
+    return refuse(now, key, m.uri.starts_with("sip:") ? 400 : 416, out, std::move(trouble));
+  }
+  if (calls_.size() >= kMostCalls) {
+    sip::Message busy = sip::answer_to(m, 503, sip::phrase_of(503), words_.next());
+    busy.add("Retry-After", retry_after(kNotReady));
+    return transactions_.respond(now, key, busy, out);
+  }
+  request.call = core::call_id(core::Front::sip, ++last_);
+  Call call;
+  call.invite = key;
+  call.offer = m.body;
+  Dialog& d = call.dialog;
+  const std::string tag = words_.next();
+  d.call_id = m.header("Call-ID");
+  d.local = std::string(m.header("To")).append(";tag=").append(tag);
+  d.remote = m.header("From");
+  const std::string_view contact = m.header("Contact");
+  d.target = sip::uri_in(contact.empty() ? m.header("From") : contact);
+  for (const std::string_view route : m.all("Record-Route")) d.routes.emplace_back(route);
+  d.remote_cseq = sip::cseq_of(m)->number;
+  d.flow = flow;
+  by_dialog_.emplace(dialog_key(d.call_id, tag, sip::parameter(d.remote, "tag")), request.call);
+  by_invite_.emplace(key, request.call);
+  calls_.emplace(request.call, std::move(call));
+  transactions_.respond(now, key, sip::answer_to(m, 100, sip::phrase_of(100), {}), out);
+  out.tell(core::RequestCame{std::move(request)});
+}
+
+std::string Sip::read_request(Time now, const sip::Message& m, core::Request& r) {
+  if (!m.uri.starts_with("sip:")) return "the URI's scheme is not sip";
+  r.number_text = sip::user_of(m.uri);
+  if (r.number_text.empty()) return "the URI names no number";
+  r.number = Number{jsonl::number_of_hex(r.number_text).value_or(hash(r.number_text))};
+  r.call_class = settings_.default_class;
+  if (sip::same_word(m.header("Priority"), "emergency")) r.call_class = settings_.emergency_class;
+  if (const std::string_view name = m.header("Priority-Class"); !name.empty()) {
+    const auto it = std::find(settings_.class_names.begin(), settings_.class_names.end(), name);
+    if (it == settings_.class_names.end()) return "Priority-Class names no class";
+    r.call_class = static_cast<ClassIndex>(it - settings_.class_names.begin());
+  }
+  r.class_name = settings_.class_names[r.call_class];
+  r.deadline = now + settings_.patience[r.call_class];
+  const std::string_view ms = m.header("Expires-Ms");
+  if (const std::string_view expires = ms.empty() ? m.header("Expires") : ms; !expires.empty()) {
+    const auto value = whole_number(expires);
+    if (!value || *value > 1'000'000'000) return "Expires is not a number";
+    const Duration wait =
+        ms.empty() ? Duration(std::chrono::seconds(*value)) : Duration(std::chrono::milliseconds(*value));
+    r.deadline = std::min(r.deadline, now + wait);
+  }
+  r.team = sip::host_of(sip::uri_in(m.header("From")));
+  r.team = r.team.substr(0, r.team.find(':'));
+  r.label = words_.next();
+  r.description = m.body;
+  return {};
+}
+
+// ---- within a call
+
+void Sip::reinvite(Time now, const std::string& key, Call& call, const sip::Message& m, Outbox& out) {
+  counters_.add("sip.reinvites");
+  const std::uint32_t number = sip::cseq_of(m)->number;
+  if (number < call.dialog.remote_cseq) return refuse(now, key, 500, out, "CSeq goes backwards");
+  if (!call.answered || !call.acknowledged || !call.reinvite.empty()) return refuse(now, key, 491, out);
+  call.dialog.remote_cseq = number;
+  // The session at the setup server is what it was answered with: a refresh is accepted, a change is not.
+  if (!m.body.empty() && m.body != call.offer)
+    return refuse(now, key, 488, out, "the session can't be changed");
+  if (const std::string_view contact = m.header("Contact"); !contact.empty())
+    call.dialog.target = sip::uri_in(contact);
+  call.reinvite = key;
+  transactions_.respond(now, key, accept(call, m), out);
+}
+
+void Sip::ack(Time now, const sip::Message& m, Outbox& out) {
+  Call* call = find(dialog_of(m));
+  if (call == nullptr || !call->answered) {
+    counters_.add("sip.acks_unknown");
+    return;
+  }
+  if (!call->reinvite.empty()) {
+    transactions_.acknowledged(now, std::exchange(call->reinvite, {}), out);
+    return;
+  }
+  if (std::exchange(call->acknowledged, true)) return;
+  counters_.add("sip.acks");
+  transactions_.acknowledged(now, call->invite, out);
+  if (call->over_when_acknowledged) {
+    send_bye(now, *call, call->cause, out);
+    forget(dialog_of(m));
+  }
+}
+
+void Sip::bye(Time now, const std::string& key, const sip::Message& m, Outbox& out) {
+  const CallId id = dialog_of(m);
+  const Call* call = find(id);
+  if (call == nullptr) return refuse(now, key, 481, out);
+  counters_.add("sip.byes_in");
+  refuse(now, key, 200, out);
+  if (!call->answered) {
+    // A BYE before the answer ends the call like a CANCEL (§15.1.2).
+    refuse(now, call->invite, 487, out);
+    out.tell(core::CallerGaveUp{id});
+  } else {
+    transactions_.acknowledged(now, call->invite, out);
+    if (!call->over_when_acknowledged) out.tell(core::CallerReleased{id, 16});
+  }
+  forget(id);
+}
+
+void Sip::cancel(Time now, const std::string& key, const sip::Message& m, Outbox& out) {
+  const std::string invite = transactions_.cancelled_by(m);
+  if (invite.empty()) return refuse(now, key, 481, out);
+  counters_.add("sip.cancels_in");
+  refuse(now, key, 200, out);
+  // One that crosses our final answer changes nothing: the caller acknowledges that and says BYE.
+  if (transactions_.has_final(invite)) return;
+  refuse(now, invite, 487, out);
+  const auto it = by_invite_.find(invite);
+  if (it == by_invite_.end()) return;
+  const CallId id = it->second;
+  out.tell(core::CallerGaveUp{id});
+  forget(id);
+}
+
+void Sip::on(Time now, const net::TimerFired& e, Outbox& out) {
+  for (const sip::Lapse& lapse : transactions_.fired(now, e.key.number, out)) {
+    if (lapse.what != sip::Lapse::What::no_ack) continue;
+    const auto it = by_invite_.find(lapse.key);
+    if (it == by_invite_.end()) continue;
+    Call* call = find(it->second);
+    if (call == nullptr || !call->answered || call->acknowledged) continue;
+    // §13.3.1.4: a call whose answer was never acknowledged is ended.
+    counters_.add("sip.acks_missing");
+    const CallId id = it->second;
+    send_bye(now, *call, 102, out);
+    if (!call->over_when_acknowledged) out.tell(core::CallerReleased{id, 102});
+    forget(id);
+  }
+}
+
+// ---- the broker's effects
+
+sip::Message Sip::accept(const Call& call, const sip::Message& request) const {
+  sip::Message m =
+      sip::answer_to(request, 200, sip::phrase_of(200), sip::parameter(call.dialog.local, "tag"));
+  for (const std::string& route : call.dialog.routes) m.add("Record-Route", route);
+  m.add("Contact", contact(call.dialog.flow));
+  m.add("Allow", std::string(kAllow));
+  if (!call.description.empty()) m.add("Content-Type", "application/sdp");
+  m.body = call.description;
+  return m;
+}
+
+void Sip::apply(Time now, const core::Serve& e, Outbox& out) {
+  Call* call = find(e.call);
+  if (call == nullptr) return;
+  counters_.add("sip.answers");
+  call->answered = true;
+  call->description = e.description;
+  const sip::Message* request = transactions_.request_of(call->invite);
+  if (request != nullptr) transactions_.respond(now, call->invite, accept(*call, *request), out);
+}
+
+void Sip::apply(Time now, const core::TurnDown& e, Outbox& out) {
+  const Call* call = find(e.call);
+  if (call == nullptr) return;
+  counters_.add(e.refused ? "sip.refusals" : "sip.failures");
+  int status = 500;
+  if (e.refused) status = 503;
+  if (e.why == core::Why::number_busy) status = 486;
+  if (e.why == core::Why::overdue) status = 480;  // 408 may not carry Retry-After
+  if (const sip::Message* request = transactions_.request_of(call->invite)) {
+    const std::string_view tag = sip::parameter(call->dialog.local, "tag");
+    sip::Message m = sip::answer_to(*request, status, sip::phrase_of(status), tag);
+    if (e.wait > Duration{} || status == 503) m.add("Retry-After", retry_after(e.wait));
+    transactions_.respond(now, call->invite, m, out);
+  }
+  forget(e.call);
+}
+
+void Sip::apply(Time now, const core::ReleaseCaller& e, Outbox& out) {
+  Call* call = find(e.call);
+  if (call == nullptr) return;
+  counters_.add("sip.releases_out");
+  if (!call->acknowledged) {  // §15: no BYE before the ACK
+    call->over_when_acknowledged = true;
+    call->cause = e.cause;
+    return;
+  }
+  send_bye(now, *call, e.cause, out);
+  forget(e.call);
+}
+
+void Sip::send_bye(Time now, Call& call, int cause, Outbox& out) {
+  Dialog& d = call.dialog;
+  sip::Message m;
+  m.method = "BYE";
+  m.uri = d.target;
+  m.add("Via", std::string(d.flow.reliable ? "SIP/2.0/TCP " : "SIP/2.0/UDP ") + address(d.flow) +
+                   ";branch=" + std::string(sip::kCookie) + words_.next());
+  m.add("Max-Forwards", "70");
+  for (const std::string& route : d.routes) m.add("Route", route);
+  m.add("From", d.local);
+  m.add("To", d.remote);
+  m.add("Call-ID", d.call_id);
+  m.add("CSeq", std::to_string(++d.local_cseq) + " BYE");
+  m.add("Reason", "Q.850;cause=" + std::to_string(cause));
+  // The next hop: the first route, else the caller's contact. An open connection of the call is used as it
+  // is.
+  sip::Flow flow = d.flow;
+  const std::string hop = sip::address_in(
+      sip::host_of(d.routes.empty() ? std::string_view(d.target) : sip::uri_in(d.routes.front())));
+  if (!hop.empty()) flow.peer = hop;
+  counters_.add("sip.byes_out");
+  transactions_.send_request(now, flow, m, out);
+}
+
+// ---- small things
+
+void Sip::forget(CallId id) {
+  const auto it = calls_.find(id);
+  if (it == calls_.end()) return;
+  const Dialog& d = it->second.dialog;
+  by_dialog_.erase(dialog_key(d.call_id, sip::parameter(d.local, "tag"), sip::parameter(d.remote, "tag")));
+  by_invite_.erase(it->second.invite);
+  calls_.erase(it);
+}
+
+Sip::Call* Sip::find(CallId id) {
+  const auto it = calls_.find(id);
+  return it == calls_.end() ? nullptr : &it->second;
+}
+
+CallId Sip::dialog_of(const sip::Message& m) const {
+  const auto it = by_dialog_.find(dialog_key(m.header("Call-ID"), sip::parameter(m.header("To"), "tag"),
+                                             sip::parameter(m.header("From"), "tag")));
+  return it == by_dialog_.end() ? CallId{0} : it->second;
+}
+
+std::string Sip::contact(const sip::Flow& flow) const {
+  return "<sip:" + address(flow) + (flow.reliable ? ";transport=tcp>" : ">");
+}
+
+}  // namespace graniterun::front
--- /dev/null
+++ b/src/otlp/exporter.cpp
@@ -0,0 +1,239 @@
+#include "otlp/exporter.h"
+
+#include <nlohmann/json.hpp>
+
+namespace graniterun::otlp {
+namespace {
+
+using nlohmann::json;
+using namespace std::chrono_literals;
+
+constexpr std::size_t kMostSpans = 2048;  // requests that wait for export
+constexpr std::size_t kBatch = 128;       // requests in one post
+constexpr std::size_t kMostPosts = 8;     // posts that wait
+constexpr int kMostTries = 4;
+constexpr Duration kConnectWithin = 1s;
+constexpr Duration kAnswerWithin = 5s;
+constexpr int kServer = 2;  // span kinds of the specification
+constexpr int kClient = 3;
+constexpr int kOk = 1;  // status codes
+constexpr int kError = 2;
+constexpr int kCumulative = 2;
+
+std::string nanos(Time at) { return std::to_string(at.time_since_epoch().count()); }
+
+json attribute(const char* key, const std::string& value) {
+  return {{"key", key}, {"value", {{"stringValue", value}}}};
+}
+
+const char* word_of(core::Why why) {
+  constexpr const char* kWords[] = {"throttled",  "over_budget", "overdue", "number_busy",
+                                    "no_success", "crossed",     "cut",     "ended"};
+  return kWords[static_cast<std::size_t>(why)];
+}
+
+const char* word_of(Outcome outcome) {
+  constexpr const char* kWords[] = {"ok",    "busy_or_fault", "full",    "timed_out", "no_connection",
+                                    "reset", "cancelled",     "not_sent"};
+  return kWords[static_cast<std::size_t>(outcome)];
+}
+
+json scope() { return {{"name", "graniterun"}}; }
+
+// The specification's retryable answers.
+bool retryable(int status) { return status == 429 || status == 502 || status == 503 || status == 504; }
+
+}  // namespace
+
+Exporter::Exporter(ExporterSettings settings, Counters& counters)
+    : settings_(std::move(settings)), counters_(counters), words_(~settings_.seed) {}
+
+void Exporter::start(Time now, Outbox& out) {
+  started_ = now;
+  if (settings_.collector) out.arm(net::Concern::collector, 0, now + settings_.every);
+}
+
+void Exporter::note(Time now, const core::RequestAnswered& e,
+                    const std::function<std::string(ServerId)>& name_of) {
+  if (!settings_.collector) return;
+  if (spans_.size() >= kMostSpans) {
+    counters_.add("otlp.spans_dropped");
+    return;
+  }
+  const std::string trace = words_.next() + words_.next();
+  const std::string root = words_.next();
+  json request = {{"traceId", trace},
+                  {"spanId", root},
+                  {"name", "request"},
+                  {"kind", kServer},
+                  {"startTimeUnixNano", nanos(e.came)},
+                  {"endTimeUnixNano", nanos(now)},
+                  {"status", {{"code", e.served ? kOk : kError}}}};
+  request["attributes"] = {
+      attribute("call.id", e.request->label), attribute("call.class", e.request->class_name),
+      attribute("call.team", e.request->team), attribute("call.answer", e.why ? word_of(*e.why) : "served")};
+  json spans = json::array({request});
+  for (const core::AttemptRecord& a : e.attempts) {
+    const bool good = !a.outcome || *a.outcome == Outcome::ok;
+    json attempt = {{"traceId", trace},
+                    {"spanId", words_.next()},
+                    {"parentSpanId", root},
+                    {"name", "attempt"},
+                    {"kind", kClient},
+                    {"startTimeUnixNano", nanos(a.began)},
+                    {"endTimeUnixNano", nanos(a.ended)},
+                    {"status", {{"code", good ? kOk : kError}}}};
+    attempt["attributes"] = {attribute("server.id", name_of(a.server)),
+                             attribute("attempt.outcome", a.outcome ? word_of(*a.outcome) : "stands")};
+    spans.push_back(std::move(attempt));
+  }
+  // Without the brackets: batches join them.
+  const std::string text = spans.dump(-1, ' ', false, json::error_handler_t::replace);
+  spans_.push_back(text.substr(1, text.size() - 2));
+}
+
+std::string Exporter::traces(std::size_t& count) {
+  std::string joined;
+  for (count = 0; count < kBatch && !spans_.empty(); ++count) {
+    joined.append(joined.empty() ? "" : ",").append(spans_.front());
+    spans_.pop_front();
+  }
+  const json resource = {{"attributes",
+                          {attribute("service.name", "graniterun"),
+                           attribute("service.instance.id", settings_.service_instance)}}};
+  return R"({"resourceSpans":[{"resource":)" + resource.dump() + R"(,"scopeSpans":[{"scope":)" +
+         scope().dump() + R"(,"spans":[)" + joined + "]}]}]}";
+}
+
+std::string Exporter::metrics(Time now, const Counters& all) const {
+  json list = json::array();
+  for (const auto& [name, value] : all.all()) {
+    json point = {{"startTimeUnixNano", nanos(started_)},
+                  {"timeUnixNano", nanos(now)},
+                  {"asInt", std::to_string(value)}};
+    json sum = {{"aggregationTemporality", kCumulative}, {"isMonotonic", true}};
+    sum["dataPoints"] = json::array({point});
+    list.push_back({{"name", name}, {"sum", sum}});
+  }
+  json whole;
+  json& resource = whole["resourceMetrics"][0];
+  resource["resource"]["attributes"] = {attribute("service.name", "graniterun"),
+                                        attribute("service.instance.id", settings_.service_instance)};
+  resource["scopeMetrics"][0]["scope"] = scope();
+  resource["scopeMetrics"][0]["metrics"] = list;
+  return whole.dump();
+}
+
+// ---- sending
+
+void Exporter::on(Time now, const net::TimerFired&, const Counters& all, Outbox& out) {
+  out.arm(net::Concern::collector, 0, now + settings_.every);
+  if (in_flight_ && now - sent_at_ > kAnswerWithin) {
+    out.close({net::Concern::collector, conn_});
+    failed(out, true);
+  }
+  while (!spans_.empty() && posts_.size() < kMostPosts) {
+    Post post;
+    post.path = "/v1/traces";
+    post.body = traces(post.spans);
+    posts_.push_back(std::move(post));
+  }
+  if (posts_.size() < kMostPosts) posts_.push_back({"/v1/metrics", metrics(now, all)});
+  send_next(now, out);
+}
+
+void Exporter::send_next(Time now, Outbox& out) {
+  if (in_flight_ || posts_.empty()) return;
+  if (!up_) {
+    if (std::exchange(connecting_, true)) return;
+    out.net.push_back(net::Connect{{net::Concern::collector, ++conn_}, *settings_.collector, kConnectWithin});
+    return;
+  }
+  Post& post = posts_.front();
+  ++post.tries;
+  in_flight_ = true;
+  sent_at_ = now;
+  head_.reset();
+  body_.reset();
+  answer_.clear();
+  out.send({net::Concern::collector, conn_}, "POST " + post.path + " HTTP/1.1\r\nHost: " + settings_.host +
+                                                 "\r\nContent-Type: application/json\r\nContent-Length: " +
+                                                 std::to_string(post.body.size()) + "\r\n\r\n" + post.body);
+}
+
+// The connection is gone or the collector could not take the post: it is sent again with the next export, or
+// dropped when it had its tries.
+void Exporter::failed(Outbox&, bool again) {
+  if (in_flight_ && !posts_.empty() && (!again || posts_.front().tries >= kMostTries)) {
+    counters_.add("otlp.posts_dropped");
+    counters_.add("otlp.spans_dropped", posts_.front().spans);
+    posts_.pop_front();
+  }
+  in_flight_ = false;
+  up_ = false;
+  connecting_ = false;
+}
+
+void Exporter::on(Time now, const net::Connected& e, Outbox& out) {
+  if (e.conn.number != conn_) return;
+  connecting_ = false;
+  up_ = true;
+  send_next(now, out);
+}
+
+void Exporter::on(Time, const net::ConnectFailed& e, Outbox& out) {
+  if (e.conn.number != conn_) return;
+  counters_.add("otlp.connects_failed");
+  failed(out, true);
+}
+
+void Exporter::on(Time, const net::Closed& e, Outbox& out) {
+  if (e.conn.number == conn_) failed(out, true);
+}
+
+void Exporter::on(Time now, const net::Received& e, Outbox& out) {
+  if (e.conn.number != conn_ || !in_flight_) {
+    out.net.push_back(net::Consume{e.conn, e.bytes.size()});
+    return;
+  }
+  std::size_t used = 0;
+  if (!head_) {
+    http::Head head;
+    const http::HeadState state = http::read_head(e.bytes, head);
+    if (state == http::HeadState::more) return;
+    if (state == http::HeadState::malformed) {
+      counters_.add("otlp.malformed");
+      out.close(e.conn);
+      return failed(out, false);
+    }
+    head_ = head;
+    body_.emplace(head);
+    used = head.size;
+  }
+  const auto taken = body_->take(e.bytes.substr(used), answer_);
+  if (taken) out.net.push_back(net::Consume{e.conn, used + *taken});
+  const bool empty = head_->length == std::size_t{0};
+  if (!taken || answer_.size() > http::kHeadBound) {
+    counters_.add("otlp.malformed");
+    out.close(e.conn);
+    return failed(out, false);
+  }
+  if (!body_->done() && !empty) return;
+  const int status = head_->status;
+  if (status / 100 != 2) {
+    counters_.add("otlp.posts_refused");
+    out.close(e.conn);
+    return failed(out, retryable(status));
+  }
+  counters_.add("otlp.posts");
+  counters_.add("otlp.spans", posts_.front().spans);
+  posts_.pop_front();
+  in_flight_ = false;
+  if (head_->closes) {
+    out.close(e.conn);
+    up_ = false;
+  }
+  send_next(now, out);
+}
+
+}  // namespace graniterun::otlp
--- /dev/null
+++ b/src/otlp/exporter.h
@@ -0,0 +1,67 @@
+// Export to an OpenTelemetry collector: OTLP over HTTP with JSON bodies. A span for each request with its
+// attempts, and the counters as sums. Batched and bounded: what a slow collector does not take is dropped and
+// counted, and no call waits for it.
+#pragma once
+
+#include <deque>
+#include <functional>
+#include <optional>
+#include <string>
+
+#include "app/outbox.h"
+#include "core/counters.h"
+#include "core/words.h"
+#include "proto/http.h"
+
+namespace graniterun::otlp {
+
+struct ExporterSettings {
+  std::optional<std::string> collector{};  // address:port; none: it is off
+  std::string host{};                      // for the Host header
+  std::string service_instance{};
+  Duration every{};
+  std::uint64_t seed{};
+};
+
+class Exporter {
+ public:
+  Exporter(ExporterSettings settings, Counters& counters);
+
+  void start(Time now, Outbox& out);
+  void note(Time now, const core::RequestAnswered& e, const std::function<std::string(ServerId)>& name_of);
+  void on(Time now, const net::Connected& e, Outbox& out);
+  void on(Time now, const net::ConnectFailed& e, Outbox& out);
+  void on(Time now, const net::Received& e, Outbox& out);
+  void on(Time now, const net::Closed& e, Outbox& out);
+  void on(Time now, const net::TimerFired& e, const Counters& all, Outbox& out);
+
+ private:
+  struct Post {
+    std::string path{};
+    std::string body{};
+    std::size_t spans = 0;
+    int tries = 0;
+  };
+
+  std::string traces(std::size_t& count);
+  std::string metrics(Time now, const Counters& all) const;
+  void send_next(Time now, Outbox& out);
+  void failed(Outbox& out, bool again);
+
+  ExporterSettings settings_;
+  Counters& counters_;
+  Words words_;
+  Time started_{};
+  std::deque<std::string> spans_;  // JSON, one request with its attempts each
+  std::deque<Post> posts_;
+  std::uint32_t conn_ = 0;
+  bool connecting_ = false;
+  bool up_ = false;
+  bool in_flight_ = false;
+  Time sent_at_{};
+  std::optional<http::Head> head_{};
+  std::optional<http::Body> body_{};
+  std::string answer_{};
+};
+
+}  // namespace graniterun::otlp
--- /dev/null
+++ b/src/sip/transactions.cpp
@@ -0,0 +1,311 @@
+#include "sip/transactions.h"
+
+#include <algorithm>
+
+namespace graniterun::sip {
+namespace {
+
+std::string_view top_via(const Message& m) {
+  const std::string_view via = m.header("Via");
+  return via.substr(0, via.find(','));
+}
+
+std::string_view sent_by(std::string_view via) {
+  const std::size_t space = via.find_first_of(" \t");
+  return space == std::string_view::npos
+             ? std::string_view{}
+             : trim(trim(via.substr(space)).substr(0, trim(via.substr(space)).find(';')));
+}
+
+// §17.2.3; without the cookie the parts that a request of RFC 2543 is known by.
+std::string server_key(const Message& request, std::string_view method) {
+  const std::string_view via = top_via(request);
+  const std::string_view branch = parameter(via, "branch");
+  const std::string_view by_method = method == "ACK" ? "INVITE" : method;
+  std::string key;
+  if (branch.starts_with(kCookie)) {
+    key.append(branch).append("|").append(sent_by(via));
+  } else {
+    const auto cseq = cseq_of(request);
+    key.append(request.header("Call-ID")).append("|").append(parameter(request.header("From"), "tag"));
+    key.append("|").append(std::to_string(cseq ? cseq->number : 0)).append("|").append(via);
+  }
+  return key.append("|").append(by_method);
+}
+
+std::string client_key(const Message& m) {
+  const auto cseq = cseq_of(m);
+  return std::string(parameter(top_via(m), "branch")).append("|").append(cseq ? cseq->method : "");
+}
+
+}  // namespace
+
+std::string_view phrase_of(int status) {
+  switch (status) {
+    case 100:
+      return "Trying";
+    case 200:
+      return "OK";
+    case 400:
+      return "Bad Request";
+    case 405:
+      return "Method Not Allowed";
+    case 416:
+      return "Unsupported URI Scheme";
+    case 420:
+      return "Bad Extension";
+    case 480:
+      return "Temporarily Unavailable";
+    case 481:
+      return "Call/Transaction Does Not Exist";
+    case 482:
+      return "Loop Detected";
+    case 483:
+      return "Too Many Hops";
+    case 486:
+      return "Busy Here";
+    case 487:
+      return "Request Terminated";
+    case 488:
+      return "Not Acceptable Here";
+    case 491:
+      return "Request Pending";
+    case 500:
+      return "Server Internal Error";
+    case 501:
+      return "Not Implemented";
+    case 503:
+      return "Service Unavailable";
+    default:
+      return "Unknown";
+  }
+}
+
+Message answer_to(const Message& request, int status, std::string_view phrase, std::string_view tag) {
+  Message m;
+  m.status = status;
+  m.phrase = phrase;
+  for (const std::string_view via : request.all("Via")) m.add("Via", std::string(via));
+  m.add("From", std::string(request.header("From")));
+  std::string to(request.header("To"));
+  if (status > 100 && !tag.empty() && parameter(to, "tag").empty()) to.append(";tag=").append(tag);
+  m.add("To", std::move(to));
+  m.add("Call-ID", std::string(request.header("Call-ID")));
+  m.add("CSeq", std::string(request.header("CSeq")));
+  return m;
+}
+
+// ---- timers
+
+void Transactions::arm(Time now, bool server, const std::string& key, Base& base, Kind kind, Duration after,
+                       Outbox& out) {
+  timers_.emplace(++last_timer_, Timer{server, key, kind});
+  base.timers[kind] = last_timer_;
+  out.arm(concern_, last_timer_, now + after);
+}
+
+// Sends the last message again and doubles the gap: up to T2, but for a client's INVITE.
+void Transactions::resent(Time now, bool server, const std::string& key, Base& base, Outbox& out) {
+  counters_.add("sip.resent");
+  transport_.send(base.flow, base.sent, out);
+  base.gap = !server && base.invite ? base.gap * 2 : std::min(base.gap * 2, kT2);
+  arm(now, server, key, base, Kind::resend, base.gap, out);
+}
+
+std::vector<Lapse> Transactions::fired(Time now, std::uint64_t number, Outbox& out) {
+  std::vector<Lapse> lapses;
+  const auto it = timers_.find(number);
+  if (it == timers_.end()) return lapses;
+  const Timer timer = it->second;
+  timers_.erase(it);
+  const auto current = [&](const Base& base) {
+    const auto armed = base.timers.find(timer.kind);
+    return armed != base.timers.end() && armed->second == number;
+  };
+  if (timer.server) {
+    const auto tx = servers_.find(timer.key);
+    if (tx == servers_.end() || !current(tx->second)) return lapses;
+    Server& s = tx->second;
+    if (timer.kind == Kind::resend) {  // timer G, or a 2xx that was not acknowledged
+      if (s.state == State::completed || s.state == State::accepted) resent(now, true, timer.key, s, out);
+    } else {
+      if (timer.kind == Kind::lapse) lapses.push_back({Lapse::What::no_ack, timer.key});  // timer H
+      servers_.erase(tx);                                                                 // timers H, I, J, L
+    }
+    return lapses;
+  }
+  const auto tx = clients_.find(timer.key);
+  if (tx == clients_.end() || !current(tx->second)) return lapses;
+  Client& c = tx->second;
+  if (timer.kind == Kind::resend) {  // timers A and E
+    const bool waiting = c.state == State::trying || (!c.invite && c.state == State::proceeding);
+    if (waiting) resent(now, false, timer.key, c, out);
+  } else if (timer.kind == Kind::lapse) {  // timers B and F
+    const bool waiting = c.state == State::trying || (!c.invite && c.state == State::proceeding);
+    if (!waiting) return lapses;
+    lapses.push_back({Lapse::What::no_answer, timer.key});
+    clients_.erase(tx);
+  } else {  // timers D, K and M
+    clients_.erase(tx);
+  }
+  return lapses;
+}
+
+// ---- server side
+
+Transactions::Taken Transactions::take_request(Time now, const Flow& flow, const Message& request,
+                                               std::string& key, Outbox& out) {
+  key = server_key(request, request.method);
+  const auto it = servers_.find(key);
+  if (request.method == "ACK") {
+    if (it == servers_.end() || it->second.state == State::accepted) return Taken::ack;
+    Server& s = it->second;
+    if (s.state == State::completed) {
+      s.state = State::confirmed;
+      s.timers.erase(Kind::resend);
+      s.timers.erase(Kind::lapse);
+      arm(now, true, key, s, Kind::end, s.flow.reliable ? Duration{} : kT4, out);  // timer I
+    }
+    return Taken::absorbed;
+  }
+  if (it != servers_.end()) {
+    // A repeat, however late: it gets the same answer and starts nothing.
+    counters_.add("sip.repeats_absorbed");
+    const Server& s = it->second;
+    if (!s.sent.empty() && s.state != State::confirmed) transport_.send(s.flow, s.sent, out);
+    return Taken::absorbed;
+  }
+  Server s;
+  s.flow = flow;
+  s.invite = request.method == "INVITE";
+  s.state = s.invite ? State::proceeding : State::trying;
+  s.request = request;
+  servers_.emplace(key, std::move(s));
+  return Taken::fresh;
+}
+
+void Transactions::respond(Time now, const std::string& key, const Message& answer, Outbox& out) {
+  const auto it = servers_.find(key);
+  if (it == servers_.end() || it->second.final_sent) return;
+  Server& s = it->second;
+  s.sent = answer.text();
+  transport_.send(s.flow, s.sent, out);
+  if (answer.status < 200) {
+    s.state = State::proceeding;
+    return;
+  }
+  s.final_sent = true;
+  if (!s.invite) {
+    s.state = State::completed;
+    arm(now, true, key, s, Kind::end, s.flow.reliable ? Duration{} : k64T1, out);  // timer J
+    return;
+  }
+  s.gap = kT1;
+  if (answer.status < 300) {
+    // Sent again until the ACK comes, over TCP too (§13.3.1.4).
+    s.state = State::accepted;
+    arm(now, true, key, s, Kind::resend, s.gap, out);
+  } else {
+    s.state = State::completed;
+    if (!s.flow.reliable) arm(now, true, key, s, Kind::resend, s.gap, out);  // timer G
+  }
+  arm(now, true, key, s, Kind::lapse, k64T1, out);  // timer H
+}
+
+void Transactions::acknowledged(Time now, const std::string& key, Outbox& out) {
+  const auto it = servers_.find(key);
+  if (it == servers_.end() || it->second.state != State::accepted) return;
+  Server& s = it->second;
+  if (!s.timers.contains(Kind::lapse)) return;  // acknowledged before
+  s.timers.erase(Kind::resend);
+  s.timers.erase(Kind::lapse);
+  arm(now, true, key, s, Kind::end, k64T1, out);  // timer L
+}
+
+const Message* Transactions::request_of(const std::string& key) const {
+  const auto it = servers_.find(key);
+  return it == servers_.end() ? nullptr : &it->second.request;
+}
+
+const Flow* Transactions::flow_of(const std::string& key) const {
+  const auto it = servers_.find(key);
+  return it == servers_.end() ? nullptr : &it->second.flow;
+}
+
+bool Transactions::has_final(const std::string& key) const {
+  const auto it = servers_.find(key);
+  return it != servers_.end() && it->second.final_sent;
+}
+
+std::string Transactions::cancelled_by(const Message& cancel) const {
+  const std::string key = server_key(cancel, "INVITE");
+  return servers_.contains(key) ? key : std::string();
+}
+
+// ---- client side
+
+std::string Transactions::send_request(Time now, const Flow& flow, const Message& request, Outbox& out) {
+  const std::string key = client_key(request);
+  Client c;
+  c.flow = flow;
+  c.invite = request.method == "INVITE";
+  c.state = State::trying;
+  c.request = request;
+  c.sent = request.text();
+  c.gap = kT1;
+  transport_.send(flow, c.sent, out);
+  if (!flow.reliable) arm(now, false, key, c, Kind::resend, c.gap, out);  // timers A and E
+  arm(now, false, key, c, Kind::lapse, k64T1, out);                       // timers B and F
+  clients_.insert_or_assign(key, std::move(c));
+  return key;
+}
+
+std::string Transactions::take_answer(Time now, const Message& answer, Outbox& out) {
+  const std::string key = client_key(answer);
+  const auto it = clients_.find(key);
+  if (it == clients_.end()) {
+    counters_.add("sip.answers_unknown");
+    return {};
+  }
+  Client& c = it->second;
+  if (answer.status < 200) {
+    if (c.state == State::trying) c.state = State::proceeding;
+    return c.state == State::proceeding ? key : std::string();
+  }
+  if (!c.invite) {
+    if (c.state == State::completed) return {};
+    c.state = State::completed;
+    arm(now, false, key, c, Kind::end, c.flow.reliable ? Duration{} : kT4, out);  // timer K
+    return key;
+  }
+  if (answer.status < 300) {
+    if (c.state == State::completed) return {};
+    if (c.state != State::accepted) arm(now, false, key, c, Kind::end, k64T1, out);  // timer M
+    c.state = State::accepted;
+    return key;  // repeats too: the user acknowledges each
+  }
+  if (c.state == State::accepted) return {};
+  ack_refusal(c, answer, out);
+  if (c.state == State::completed) return {};
+  c.state = State::completed;
+  arm(now, false, key, c, Kind::end, c.flow.reliable ? Duration{} : k64T1, out);  // timer D
+  return key;
+}
+
+// §17.1.1.3: within the transaction, on the same branch.
+void Transactions::ack_refusal(Client& c, const Message& answer, Outbox& out) {
+  Message ack;
+  ack.method = "ACK";
+  ack.uri = c.request.uri;
+  ack.add("Via", std::string(c.request.header("Via")));
+  ack.add("Max-Forwards", "70");
+  for (const std::string_view route : c.request.all("Route")) ack.add("Route", std::string(route));
+  ack.add("From", std::string(c.request.header("From")));
+  ack.add("To", std::string(answer.header("To")));
+  ack.add("Call-ID", std::string(c.request.header("Call-ID")));
+  const auto cseq = cseq_of(c.request);
+  ack.add("CSeq", std::to_string(cseq ? cseq->number : 0) + " ACK");
+  transport_.send(c.flow, ack.text(), out);
+}
+
+}  // namespace graniterun::sip
--- /dev/null
+++ b/src/sip/transport.cpp
@@ -0,0 +1,97 @@
+#include "sip/transport.h"
+
+#include <algorithm>
+#include <cctype>
+
+namespace graniterun::sip {
+namespace {
+
+constexpr Duration kConnectWithin = std::chrono::seconds(2);
+constexpr std::size_t kMostWaiting = 64;  // messages for a connection that is being made
+// Connections made from here are numbered apart from those accepted.
+constexpr std::uint32_t kDialled = 1U << 31;
+
+}  // namespace
+
+std::string address_in(std::string_view host) {
+  const std::string_view name = host.substr(0, host.rfind(':'));
+  const bool numeric = !name.empty() && std::all_of(name.begin(), name.end(), [](unsigned char c) {
+    return std::isdigit(c) || c == '.';
+  });
+  if (!numeric) return {};
+  return host.find(':') == std::string_view::npos ? std::string(host) + ":5060" : std::string(host);
+}
+
+void Transport::connected(std::uint32_t conn, Outbox& out) {
+  open_.insert(conn);
+  for (auto& [peer, dialled] : dialled_) {
+    if (dialled.conn != conn) continue;
+    dialled.up = true;
+    for (std::string& text : std::exchange(dialled.waiting, {})) out.send({concern_, conn}, std::move(text));
+  }
+}
+
+std::string Transport::connect_failed(std::uint32_t conn) {
+  for (auto it = dialled_.begin(); it != dialled_.end(); ++it) {
+    if (it->second.conn != conn) continue;
+    counters_.add("sip.connects_failed");
+    std::string peer = it->first;
+    dialled_.erase(it);
+    return peer;
+  }
+  return {};
+}
+
+void Transport::closed(std::uint32_t conn) {
+  open_.erase(conn);
+  std::erase_if(dialled_, [conn](const auto& d) { return d.second.conn == conn; });
+}
+
+void Transport::close(std::uint32_t conn, Outbox& out) {
+  out.close({concern_, conn});
+  closed(conn);
+}
+
+std::vector<Incoming> Transport::received(const net::Received& e, Outbox& out) {
+  std::vector<Incoming> messages;
+  std::size_t used = 0;
+  while (used < e.bytes.size()) {
+    Incoming incoming;
+    incoming.flow = {true, e.conn.number, {}};
+    incoming.read = read_stream(e.bytes.substr(used));
+    used += incoming.read.used;
+    if (incoming.read.state == ReadState::more) break;
+    const bool lost = incoming.read.lost;
+    messages.push_back(std::move(incoming));
+    if (lost) return messages;  // the reader of the messages closes the connection
+  }
+  out.net.push_back(net::Consume{e.conn, used});
+  return messages;
+}
+
+Incoming Transport::datagram(const net::Datagram& e) const {
+  return {{false, 0, std::string(e.peer)}, read_datagram(e.bytes)};
+}
+
+void Transport::send(const Flow& flow, std::string text, Outbox& out) {
+  counters_.add("sip.messages_out");
+  if (!flow.reliable) {
+    out.net.push_back(net::SendDatagram{concern_, flow.peer, std::move(text)});
+    return;
+  }
+  if (open_.contains(flow.conn)) return out.send({concern_, flow.conn}, std::move(text));
+  if (flow.peer.empty()) {
+    counters_.add("sip.messages_without_a_way");
+    return;
+  }
+  auto [it, fresh] = dialled_.try_emplace(flow.peer);
+  Dialled& dialled = it->second;
+  if (fresh) {
+    dialled.conn = kDialled | ++last_dialled_;
+    out.net.push_back(net::Connect{{concern_, dialled.conn}, flow.peer, kConnectWithin});
+  }
+  if (dialled.up) return out.send({concern_, dialled.conn}, std::move(text));
+  if (dialled.waiting.size() < kMostWaiting) dialled.waiting.push_back(std::move(text));
+}
+
+}  // namespace graniterun::sip
--- /dev/null
+++ b/src/sip/transport.h
@@ -0,0 +1,60 @@
+// SIP over UDP and TCP: which connection or peer a message goes to, and the parting of streams into messages.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "app/outbox.h"
+#include "core/counters.h"
+#include "proto/sip.h"
+
+namespace graniterun::sip {
+
+// The way to the other side.
+struct Flow {
+  bool reliable{};       // TCP
+  std::uint32_t conn{};  // while it is open
+  std::string peer{};    // address:port, for datagrams and where the connection is gone
+};
+
+struct Incoming {
+  Flow flow{};
+  ReadResult read{};
+};
+
+class Transport {
+ public:
+  Transport(net::Concern concern, Counters& counters) : concern_(concern), counters_(counters) {}
+
+  void accepted(std::uint32_t conn) { open_.insert(conn); }
+  void connected(std::uint32_t conn, Outbox& out);
+  // The peer that could not be reached.
+  std::string connect_failed(std::uint32_t conn);
+  void closed(std::uint32_t conn);
+  std::vector<Incoming> received(const net::Received& e, Outbox& out);
+  Incoming datagram(const net::Datagram& e) const;
+
+  void send(const Flow& flow, std::string text, Outbox& out);
+  void close(std::uint32_t conn, Outbox& out);
+  std::size_t open() const { return open_.size(); }
+
+ private:
+  struct Dialled {
+    std::uint32_t conn{};
+    bool up{};
+    std::vector<std::string> waiting{};  // messages
+  };
+  net::Concern concern_;
+  Counters& counters_;
+  std::set<std::uint32_t> open_;
+  std::map<std::string, Dialled> dialled_;  // by peer
+  std::uint32_t last_dialled_ = 0;
+};
+
+// address:port of a host part; the port is 5060 where none is named. Empty for names: nothing is looked up.
+std::string address_in(std::string_view host);
+
+}  // namespace graniterun::sip
