--- a/src/net/ring.h
+++ b/src/net/ring.h
@@ -46,7 +46,7 @@
     while (grown < wanted) grown *= 2;
     std::vector<char> bigger(std::min(grown, bound_));
     const std::string_view whole = contents();
-    std::memcpy(bigger.data(), whole.data(), whole.size());
+    std::copy(whole.begin(), whole.end(), bigger.begin());
     storage_.swap(bigger);
     head_ = 0;
   }
--- /dev/null
+++ b/tests/lab.h
@@ -0,0 +1,168 @@
+// The whole reducer under a clock of the test's own: events in, effects kept, no sockets and no waiting.
+#pragma once
+
+#include <map>
+#include <queue>
+#include <string>
+#include <vector>
+
+#include "app/gatekeeper.h"
+#include "check.h"
+#include "proto/jsonl.h"
+#include "proto/sip.h"
+
+namespace graniterun::test {
+
+using namespace std::chrono_literals;
+using net::Concern;
+using net::ConnId;
+
+inline PlatformConfig config_for_tests(int servers = 2) {
+  PlatformConfig c;
+  c.name = "t0";
+  c.listen = "127.0.0.1:1";
+  c.seed = 5;
+  c.class_names = {"voice", "safety"};
+  Settings& s = c.settings;
+  s.layout = Layout::groups;
+  s.senders = 3;
+  s.max_attempts = 5;
+  s.may_cancel = true;
+  s.max_stay_away = 2s;
+  s.round = 5ms;
+  s.release_guard = 200ms;
+  s.cold_share = 0.35;
+  s.cold_time = 15s;
+  s.fall_multiple = 2.5;
+  s.fall_window = 1500ms;
+  s.drain_grace = 2s;
+  for (const double worth : {1.0, 6.0}) {
+    CallClass call_class;
+    call_class.aim = 1500ms;
+    call_class.patience = 9s;
+    call_class.worth = worth;
+    call_class.mean_hold = 8s;
+    s.classes.push_back(call_class);
+  }
+  HostList list;
+  list.whole = true;
+  for (int i = 0; i < servers; ++i) {
+    Host h;
+    h.uid = "s" + std::to_string(i);
+    h.address = "127.0.0.1:" + std::to_string(9000 + i);
+    h.pool = Pool{i};
+    h.state = ServerState::in_service;
+    list.hosts.push_back(h);
+  }
+  c.known.push_back(list);
+  return c;
+}
+
+class Lab {
+ public:
+  explicit Lab(const PlatformConfig& config = config_for_tests(), const DeployConfig& deploy = {})
+      : gatekeeper(config, deploy, {}) {
+    tell(net::Started{});
+  }
+
+  void tell(const net::Event& event) {
+    net::Effects effects;
+    gatekeeper.step(now, event, effects);
+    for (const net::Effect& effect : effects) {
+      if (const auto* e = std::get_if<net::Connect>(&effect)) connects.push_back(*e);
+      if (const auto* e = std::get_if<net::Send>(&effect)) sent[e->conn] += e->bytes;
+      if (const auto* e = std::get_if<net::SendDatagram>(&effect)) datagrams.push_back(*e);
+      if (const auto* e = std::get_if<net::Close>(&effect)) closed.push_back(e->conn);
+      if (const auto* e = std::get_if<net::Exit>(&effect)) exit_status = e->status;
+      if (const auto* e = std::get_if<net::ArmTimer>(&effect)) timers.push({e->at, ++order, e->key});
+      if (const auto* e = std::get_if<net::Consume>(&effect)) unread[e->conn].erase(0, e->count);
+    }
+    if (watch) watch();
+  }
+  void receive(ConnId conn, const std::string& bytes) {
+    unread[conn] += bytes;
+    const std::string all = unread[conn];
+    tell(net::Received{conn, all});
+  }
+  // Lets time pass, timers on the way.
+  void pass(Duration span) {
+    const Time end = now + span;
+    while (!timers.empty() && timers.top().at <= end) {
+      const Timer timer = timers.top();
+      timers.pop();
+      now = std::max(now, timer.at);
+      tell(net::TimerFired{timer.key});
+    }
+    now = end;
+  }
+  // All connections asked for come up; returns those to `address`.
+  std::vector<ConnId> bring_up(const std::string& address = {}) {
+    std::vector<ConnId> up;
+    for (const net::Connect& c : std::exchange(connects, {})) {
+      if (c.address == address) up.push_back(c.conn);
+      tell(net::Connected{c.conn});
+    }
+    return up;
+  }
+  std::string take(ConnId conn) { return std::exchange(sent[conn], {}); }
+  // The SIP messages sent on a connection since the last look.
+  std::vector<sip::Message> messages(ConnId conn) {
+    std::vector<sip::Message> all;
+    const std::string bytes = take(conn);
+    for (std::string_view rest = bytes; !rest.empty();) {
+      sip::ReadResult read = sip::read_stream(rest);
+      CHECK(read.state == sip::ReadState::message);
+      all.push_back(read.message);
+      rest.remove_prefix(read.used);
+    }
+    return all;
+  }
+  std::vector<jsonl::Message> lines(ConnId conn) {
+    std::vector<jsonl::Message> all;
+    const std::string bytes = take(conn);
+    for (std::string_view rest = bytes; !rest.empty();) {
+      jsonl::ReadResult read = jsonl::read(rest);
+      CHECK(read.state == jsonl::ReadState::message);
+      all.push_back(read.message);
+      rest.remove_prefix(read.used);
+    }
+    return all;
+  }
+
+  Time now{1'000'000s};
+  Gatekeeper gatekeeper;
+  std::vector<net::Connect> connects;
+  std::map<ConnId, std::string> sent;
+  std::map<ConnId, std::string> unread;
+  std::vector<net::SendDatagram> datagrams;
+  std::vector<ConnId> closed;
+  std::optional<int> exit_status;
+  std::function<void()> watch;  // called after each event
+
+ private:
+  struct Timer {
+    Time at;
+    std::uint64_t order;
+    net::TimerKey key;
+    bool operator<(const Timer& other) const {
+      return std::pair(other.at, other.order) < std::pair(at, order);
+    }
+  };
+  std::priority_queue<Timer> timers;
+  std::uint64_t order = 0;
+};
+
+// A server's answer to the last request of that method.
+inline std::string server_answer(const sip::Message& request, int status, const std::string& body = {},
+                                 const std::string& more = {}) {
+  return "SIP/2.0 " + std::to_string(status) + " x\r\nCall-ID: " + std::string(request.header("Call-ID")) +
+         "\r\nCSeq: " + std::string(request.header("CSeq")) + "\r\n" + more +
+         "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+inline std::string server_bye(const std::string& call_id, int cause) {
+  return "BYE sip:x@net SIP/2.0\r\nVia: SIP/2.0/TCP peer\r\nCall-ID: " + call_id +
+         "\r\nCSeq: 1 BYE\r\nReason: Q.850;cause=" + std::to_string(cause) + "\r\nContent-Length: 0\r\n\r\n";
+}
+
+}  // namespace graniterun::test
--- /dev/null
+++ b/tests/platform_test.cpp
@@ -0,0 +1,394 @@
+// The platform's front and the setup servers' side, through the whole reducer.
+#include <random>
+#include <set>
+
+#include "lab.h"
+
+using namespace graniterun;
+using namespace graniterun::test;
+
+namespace {
+
+constexpr ConnId kCaller{Concern::platform, 1};
+const std::string kId = "9b1f03aa5c7e2d41";
+
+std::string set_up(const std::string& id = kId, int left = 1500, int dest = 0) {
+  return R"({"type":"setup","id":")" + id + R"(","fields":{"class":"voice","left":")" + std::to_string(left) +
+         R"(","key":"7f3a9c21e0b4d655","extras":"dest:)" + std::to_string(dest) +
+         R"(;width:1;via:-1"},"sdp":"offer"})" + "\n";
+}
+
+// A lab with one caller and both servers up.
+struct Ready : Lab {
+  explicit Ready(int servers = 2) : Lab(config_for_tests(servers)) {
+    CHECK_EQ(connects.size(), static_cast<std::size_t>(servers) + 0U);
+    s0 = connects[0].conn;
+    if (servers > 1) s1 = connects[1].conn;
+    bring_up();
+    tell(net::Accepted{kCaller});
+  }
+  sip::Message invite(ConnId conn) {
+    const auto all = messages(conn);
+    CHECK_EQ(all.size(), 1U);
+    CHECK_EQ(all[0].method, "INVITE");
+    return all[0];
+  }
+  jsonl::Message line() {
+    const auto all = lines(kCaller);
+    CHECK_EQ(all.size(), 1U);
+    return all[0];
+  }
+  ConnId s0{};
+  ConnId s1{};
+};
+
+void a_call_stands_and_ends() {
+  Ready lab;
+  lab.receive(kCaller, set_up());
+  const sip::Message invite = lab.invite(lab.s0);
+  CHECK_EQ(invite.uri, "sip:7f3a9c21e0b4d655@net");
+  CHECK_EQ(invite.header("Call-ID"), kId);
+  CHECK_EQ(invite.header("Priority-Class"), "voice");
+  CHECK_EQ(invite.header("Expires-Ms"), "1500");
+  CHECK_EQ(invite.body, "offer");
+  lab.receive(lab.s0, server_answer(invite, 100) + server_answer(invite, 200, "answer"));
+  CHECK_EQ(lab.messages(lab.s0).at(0).method, "ACK");
+  const jsonl::Message answer = lab.line();
+  CHECK_EQ(answer.type, "answer");
+  CHECK_EQ(*answer.description, "answer");
+  lab.pass(5s);
+  lab.receive(lab.s0, server_bye(kId, 16));
+  CHECK_EQ(lab.messages(lab.s0).at(0).status, 200);
+  const jsonl::Message release = lab.line();
+  CHECK_EQ(release.type, "release");
+  CHECK_EQ(*release.cause, 16);
+}
+
+void a_refusal_names_a_time() {  // callers without one dialled again at once
+  Ready lab(1);
+  lab.tell(net::Closed{lab.s0, true});
+  for (const net::Connect& c : std::exchange(lab.connects, {})) lab.tell(net::ConnectFailed{c.conn, true});
+  lab.receive(kCaller, set_up());
+  lab.pass(1600ms);
+  const jsonl::Message release = lab.line();
+  CHECK_EQ(release.type, "release");
+  CHECK(!release.field("wait").empty());
+}
+
+void the_answer_is_given_by_the_deadline() {
+  Ready lab;
+  lab.receive(kCaller, set_up());
+  lab.invite(lab.s0);
+  lab.pass(1499ms);
+  CHECK(lab.lines(kCaller).empty());
+  lab.pass(1ms);
+  CHECK_EQ(lab.line().type, "release");
+  CHECK_EQ(lab.messages(lab.s0).at(0).method, "CANCEL");
+  lab.pass(5s);
+  CHECK(lab.lines(kCaller).empty());
+}
+
+void a_success_that_crosses_the_cancel_is_released() {
+  Ready lab;
+  lab.receive(kCaller, set_up());
+  const sip::Message invite = lab.invite(lab.s0);
+  lab.receive(kCaller, R"({"type":"release","id":")" + kId +
+                           R"(","fields":{},"cause":16})"
+                           "\n");
+  CHECK_EQ(lab.messages(lab.s0).at(0).method, "CANCEL");
+  lab.receive(lab.s0, server_answer(invite, 200, "answer"));
+  const auto after = lab.messages(lab.s0);
+  CHECK_EQ(after.size(), 2U);
+  CHECK_EQ(after[0].method, "ACK");
+  CHECK_EQ(after[1].method, "BYE");
+  lab.pass(3s);
+  CHECK(lab.messages(lab.s0).empty() && lab.messages(lab.s1).empty() && lab.lines(kCaller).empty());
+}
+
+void after_a_reset_the_release_is_awaited() {
+  Ready lab;
+  lab.receive(kCaller, set_up(kId, 3000));
+  const sip::Message invite = lab.invite(lab.s0);
+  lab.receive(lab.s0, server_answer(invite, 504));
+  CHECK_EQ(lab.messages(lab.s0).at(0).method, "ACK");
+  lab.pass(199ms);
+  CHECK(lab.messages(lab.s1).empty());
+  lab.pass(200ms);
+  CHECK_EQ(lab.messages(lab.s1).at(0).header("CSeq"), "2 INVITE");
+}
+
+void a_full_server_sends_the_call_elsewhere_at_once() {
+  Ready lab;
+  lab.receive(kCaller, set_up());
+  const sip::Message invite = lab.invite(lab.s0);
+  lab.receive(lab.s0,
+              server_answer(invite, 503, {}, "Warning-Word: cpu_full\r\nP-Load: x0:3;latency_ms:900\r\n"));
+  CHECK_EQ(lab.messages(lab.s1).at(0).method, "INVITE");
+}
+
+void nothing_new_to_a_server_that_drains() {  // also what waits for its connection
+  PlatformConfig config = config_for_tests();
+  config.journal = "127.0.0.1:8500";
+  Lab lab(config);
+  lab.tell(net::Accepted{kCaller});
+  std::map<std::string, ConnId> by_address;
+  for (const net::Connect& c : lab.connects) by_address[c.address] = c.conn;
+  const ConnId journal = by_address.at("127.0.0.1:8500");
+  const ConnId s0 = by_address.at("127.0.0.1:9000");
+  const ConnId s1 = by_address.at("127.0.0.1:9001");
+  lab.tell(net::Connected{journal});
+  lab.tell(net::Connected{s1});
+  CHECK(lab.take(journal).find("Last-Event-ID: 0\r\n") != std::string::npos);
+  lab.receive(kCaller, set_up());
+  CHECK(lab.take(s0).empty());
+  const std::string event =
+      R"({"pos":4,"hosts":{"rev":2,"all":false,"targets":[{"uid":"s0","endpoint":"127.0.0.1:9000","az":"",)"
+      R"("pod_group":0,"state":"draining","boot_ms":0}]}})";
+  const std::string stream =
+      "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n: hi\n\nid: 4\ndata: " + event + "\n\n";
+  for (const char c : stream) lab.receive(journal, std::string(1, c));
+  lab.tell(net::Connected{s0});
+  CHECK(lab.take(s0).empty());
+  CHECK_EQ(lab.messages(s1).at(0).method, "INVITE");
+  // After a break the journal is asked for what came since.
+  lab.tell(net::Closed{journal, true});
+  lab.pass(300ms);
+  const ConnId again = lab.connects.back().conn;
+  lab.tell(net::Connected{again});
+  CHECK(lab.take(again).find("Last-Event-ID: 4\r\n") != std::string::npos);
+}
+
+void a_lost_connection_gives_up_its_set_ups_only() {
+  Ready lab;
+  lab.receive(kCaller, set_up("00000000000000aa") + set_up("00000000000000bb", 3000));
+  const auto invites = lab.messages(lab.s0);
+  CHECK_EQ(invites.size(), 2U);
+  lab.receive(lab.s0, server_answer(invites[0], 200, "a"));
+  CHECK_EQ(lab.line().type, "answer");
+  lab.tell(net::Closed{lab.s0, true});
+  lab.pass(400ms);
+  CHECK_EQ(lab.messages(lab.s1).at(0).header("Call-ID"), "00000000000000bb");
+  CHECK(lab.lines(kCaller).empty());  // the standing call stands
+  // Its end comes on the next connection.
+  CHECK(!lab.connects.empty());
+  const ConnId next = lab.connects.back().conn;
+  lab.bring_up();
+  lab.receive(next, server_bye("00000000000000aa", 41));
+  const jsonl::Message release = lab.line();
+  CHECK_EQ(release.id, "00000000000000aa");
+  CHECK_EQ(*release.cause, 41);
+}
+
+void calls_of_a_vanished_server_are_released_in_time() {  // no release can be sent: 8 s are allowed
+  Ready lab;
+  lab.receive(kCaller, set_up());
+  lab.receive(lab.s0, server_answer(lab.invite(lab.s0), 200, "a"));
+  lab.line();
+  for (int i = 0; i < 75; ++i) {
+    lab.pass(100ms);
+    for (const net::Connect& c : std::exchange(lab.connects, {})) {
+      if (c.address == "127.0.0.1:9000") lab.tell(net::ConnectFailed{c.conn, false});
+    }
+  }
+  CHECK_EQ(lab.line().type, "release");
+}
+
+void calls_of_a_quiet_server_are_kept() {  // it has nothing to say but can be reached
+  Ready lab;
+  lab.receive(kCaller, set_up());
+  lab.receive(lab.s0, server_answer(lab.invite(lab.s0), 200, "a"));
+  lab.line();
+  for (int i = 0; i < 200; ++i) {
+    lab.pass(100ms);
+    lab.bring_up();
+  }
+  CHECK(lab.lines(kCaller).empty());
+}
+
+void a_release_finds_another_connection() {  // calls belong to none
+  Ready lab;
+  lab.receive(kCaller, set_up());
+  lab.receive(lab.s0, server_answer(lab.invite(lab.s0), 200, "a"));
+  lab.line();
+  lab.tell(net::Closed{kCaller, false});
+  lab.receive(lab.s0, server_bye(kId, 16));
+  const ConnId other{Concern::platform, 2};
+  lab.tell(net::Accepted{other});
+  CHECK_EQ(lab.lines(other).at(0).id, kId);
+  // And so does one that a server sends for a call that stood before a restart.
+  lab.receive(lab.s0, server_bye("00000000000000cc", 16));
+  CHECK_EQ(lab.lines(other).at(0).id, "00000000000000cc");
+}
+
+void malformed_lines_are_refused_and_harm_nobody() {
+  Ready lab;
+  lab.receive(kCaller, set_up());
+  lab.receive(kCaller, "{\"type\":\"setup\",\"id\":\"00000000000000dd\",\"fields\":{\"class\":\"no\"}}\n");
+  const jsonl::Message refusal = lab.line();
+  CHECK_EQ(refusal.id, "00000000000000dd");
+  CHECK(lab.closed.empty());
+  const ConnId other{Concern::platform, 2};
+  lab.tell(net::Accepted{other});
+  lab.receive(other, "not json\n");
+  CHECK(lab.closed.size() == 1 && lab.closed[0] == other);
+  lab.receive(lab.s0, server_answer(lab.invite(lab.s0), 200, "a"));
+  CHECK_EQ(lab.line().type, "answer");
+}
+
+void a_ping_passes_when_ready() {
+  Lab lab;
+  lab.tell(net::Accepted{kCaller});
+  const std::string ping = R"({"type":"ping","id":"00000000000000ee","fields":{},"cause":0})"
+                           "\n";
+  lab.receive(kCaller, ping);
+  CHECK_EQ(*lab.lines(kCaller).at(0).cause, 0);
+  lab.bring_up();
+  lab.receive(kCaller, ping);
+  CHECK_EQ(*lab.lines(kCaller).at(0).cause, 1);
+}
+
+void a_stop_lets_open_requests_finish() {
+  Ready lab;
+  lab.tell(net::StopAsked{});
+  lab.pass(800ms);
+  lab.receive(kCaller, set_up());  // still comes after SIGTERM
+  const sip::Message invite = lab.invite(lab.s0);
+  lab.pass(1s);
+  CHECK(!lab.exit_status);
+  lab.receive(lab.s0, server_answer(invite, 200, "a"));
+  CHECK_EQ(lab.line().type, "answer");
+  CHECK_EQ(lab.exit_status.value_or(-1), 0);
+}
+
+// A model of a server connection against random steps: whatever happens to the connections and whatever the
+// server says, every set-up gets one final answer, no call has two attempts out, and nothing is sent on a
+// connection that is not up.
+void random_steps_keep_the_rules() {
+  for (std::uint32_t seed = 1; seed <= 60; ++seed) {
+    std::mt19937 random(seed);
+    Lab lab;
+    lab.tell(net::Accepted{kCaller});
+    enum class State { connecting, up, gone };
+    std::map<ConnId, State> model;
+    struct Out {
+      ConnId conn;
+      sip::Message invite;
+    };
+    std::map<std::string, Out> out;        // attempts at servers, by call
+    std::map<std::string, Time> ended_at;  // of attempts with a trace
+    std::map<std::string, Time> deadline;
+    std::map<std::string, int> finals;
+    std::map<std::string, std::string> standing;  // the address of the server, by call
+    std::map<std::string, std::string> answered_at;
+    std::map<ConnId, std::string> address;
+    const auto look = [&] {
+      for (const net::Connect& c : std::exchange(lab.connects, {})) {
+        model[c.conn] = State::connecting;
+        address[c.conn] = c.address;
+      }
+      for (const ConnId conn : std::exchange(lab.closed, {})) {
+        model[conn] = State::gone;
+        for (auto it = out.begin(); it != out.end();) {
+          if (it->second.conn == conn) ended_at[it->first] = lab.now;
+          it = it->second.conn == conn ? out.erase(it) : std::next(it);
+        }
+      }
+      for (auto& [conn, state] : model) {
+        if (lab.sent[conn].empty()) continue;
+        CHECK(state == State::up);
+        for (const sip::Message& m : lab.messages(conn)) {
+          const std::string id(m.header("Call-ID"));
+          if (m.method == "INVITE") {
+            CHECK(!out.contains(id));
+            CHECK(lab.now < deadline.at(id));
+            if (ended_at.contains(id)) CHECK(lab.now - ended_at[id] >= 200ms);
+            out[id] = {conn, m};
+          } else if (m.method == "CANCEL") {
+            out.erase(id);
+            ended_at[id] = lab.now;
+          }
+        }
+      }
+      for (const jsonl::Message& m : lab.lines(kCaller)) {
+        if (m.type == "release" && standing.erase(m.id) > 0) continue;
+        CHECK_EQ(++finals[m.id], 1);
+        CHECK(lab.now <= deadline.at(m.id));
+        if (m.type == "answer") standing[m.id] = answered_at.at(m.id);
+      }
+    };
+    look();
+    lab.watch = look;
+    for (int step = 0; step < 400; ++step) {
+      const std::uint32_t pick = random() % 10;
+      if (pick < 3) {
+        char id[17];
+        std::snprintf(id, sizeof id, "%016x", static_cast<unsigned>(step + 1));
+        const int left = 200 + static_cast<int>(random() % 3000);
+        deadline[id] = lab.now + std::chrono::milliseconds(left);
+        finals[id] = 0;
+        lab.receive(kCaller, set_up(id, left, static_cast<int>(random() % 2)));
+      } else if (pick < 6 && !out.empty()) {
+        auto it = out.begin();
+        std::advance(it, random() % out.size());
+        const auto [id, o] = *it;
+        constexpr int kStatus[] = {200, 200, 200, 503, 486, 480, 504};
+        const int status = kStatus[random() % 7];
+        out.erase(it);
+        if (status == 504) ended_at[id] = lab.now;
+        answered_at[id] = address.at(o.conn);
+        lab.receive(o.conn, server_answer(o.invite, status, "a"));
+      } else if (pick == 6) {
+        for (auto& [conn, state] : model) {
+          if (state != State::connecting) continue;
+          const bool up = random() % 3 != 0;
+          state = up ? State::up : State::gone;
+          if (up) {
+            lab.tell(net::Connected{conn});
+          } else {
+            lab.tell(net::ConnectFailed{conn, random() % 2 == 0});
+          }
+          break;
+        }
+      } else if (pick == 7 && random() % 3 == 0) {
+        for (auto& [conn, state] : model) {
+          if (state != State::up) continue;
+          state = State::gone;
+          for (auto it = out.begin(); it != out.end();) {
+            if (it->second.conn == conn) ended_at[it->first] = lab.now;
+            it = it->second.conn == conn ? out.erase(it) : std::next(it);
+          }
+          lab.tell(net::Closed{conn, true});
+          break;
+        }
+      } else if (pick == 8 && !standing.empty()) {
+        const auto [id, at] = *standing.begin();
+        for (auto& [conn, state] : model) {  // its release comes on every connection
+          if (state == State::up && address.at(conn) == at) lab.receive(conn, server_bye(id, 41));
+        }
+      }
+      lab.pass(std::chrono::milliseconds(random() % 200));
+    }
+    lab.pass(4s);  // to the end of all that was asked
+    for (const auto& [id, count] : finals) CHECK_EQ(count, 1);
+  }
+}
+
+}  // namespace
+
+int main() {
+  a_call_stands_and_ends();
+  a_refusal_names_a_time();
+  the_answer_is_given_by_the_deadline();
+  a_success_that_crosses_the_cancel_is_released();
+  after_a_reset_the_release_is_awaited();
+  a_full_server_sends_the_call_elsewhere_at_once();
+  nothing_new_to_a_server_that_drains();
+  a_lost_connection_gives_up_its_set_ups_only();
+  calls_of_a_vanished_server_are_released_in_time();
+  calls_of_a_quiet_server_are_kept();
+  a_release_finds_another_connection();
+  malformed_lines_are_refused_and_harm_nobody();
+  a_ping_passes_when_ready();
+  a_stop_lets_open_requests_finish();
+  random_steps_keep_the_rules();
+}
--- /dev/null
+++ b/tests/proto_test.cpp
@@ -0,0 +1,139 @@
+// The parsers and the ring, byte by byte and at their bounds.
+#include <random>
+
+#include "check.h"
+#include "net/ring.h"
+#include "proto/http.h"
+#include "proto/jsonl.h"
+#include "proto/sip.h"
+
+using namespace graniterun;
+
+namespace {
+
+void sip_comes_in_pieces() {
+  const std::string one =
+      "INVITE sip:7f3a@net SIP/2.0\r\nv: SIP/2.0/TCP a;branch=z9hG4bKx\r\ni: abc\r\nCSeq: 1 INVITE\r\n"
+      "Subject: folded\r\n  over lines\r\nContent-Length: 5\r\n\r\nhello";
+  const std::string two = one + "\r\n\r\nSIP/2.0 200 OK\r\nCall-ID: d\r\nContent-Length: 0\r\n\r\n";
+  for (std::size_t cut = 0; cut < one.size(); ++cut)
+    CHECK(sip::read_stream(std::string_view(two).substr(0, cut)).state == sip::ReadState::more);
+  const sip::ReadResult first = sip::read_stream(two);
+  CHECK(first.state == sip::ReadState::message);
+  CHECK_EQ(first.used, one.size());
+  CHECK_EQ(first.message.body, "hello");
+  CHECK_EQ(first.message.header("call-id"), "abc");
+  CHECK_EQ(first.message.header("Subject"), "folded over lines");
+  CHECK_EQ(sip::parameter(first.message.header("Via"), "branch"), "z9hG4bKx");
+  const sip::ReadResult second = sip::read_stream(std::string_view(two).substr(first.used));
+  CHECK_EQ(second.message.status, 200);
+  const sip::ReadResult again = sip::read_stream(first.message.text());
+  CHECK_EQ(again.message.text(), first.message.text());
+}
+
+void sip_refuses_what_is_malformed() {
+  const auto read = [](std::string text) { return sip::read_stream(text); };
+  CHECK(
+      read("INVITE sip:a@b SIP/2.0\r\nCall-ID: x\r\n\r\n").lost);  // no length: nothing after it can be read
+  CHECK(read("INVITE sip:a@b SIP/2.0\r\nContent-Length: -1\r\n\r\n").lost);
+  CHECK(read("X\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n").lost);
+  CHECK(read("INVITE sip:a@b SIP/2.0\r\nContent-Length: 99999\r\n\r\n").lost);
+  CHECK(read(std::string(20000, 'a')).lost);
+  const sip::ReadResult kept = read("INVITE sip:a@b SIP/3.0\r\nCall-ID: x\r\nContent-Length: 0\r\n\r\n");
+  CHECK(kept.state == sip::ReadState::malformed && !kept.lost);
+  CHECK_EQ(kept.message.header("Call-ID"), "x");
+  CHECK(sip::read_datagram("INVITE sip:a@b SIP/2.0\r\nContent-Length: 9\r\n\r\nshort").state ==
+        sip::ReadState::malformed);
+  CHECK_EQ(sip::read_datagram("INVITE sip:a@b SIP/2.0\r\nContent-Length: 2\r\n\r\nabcd").message.body, "ab");
+}
+
+void json_lines() {
+  const std::string line =
+      R"({"type":"setup","id":"9b1f03aa5c7e2d41","fields":{"left":"1500","n":3},"cause":34,"sdp":"a\r\nb"})"
+      "\n";
+  for (std::size_t cut = 0; cut < line.size(); ++cut)
+    CHECK(jsonl::read(std::string_view(line).substr(0, cut)).state == jsonl::ReadState::more);
+  const jsonl::ReadResult read = jsonl::read(line);
+  CHECK(read.state == jsonl::ReadState::message);
+  CHECK_EQ(read.message.field("left"), "1500");
+  CHECK_EQ(read.message.field("n"), "3");
+  CHECK_EQ(*read.message.description, "a\r\nb");
+  CHECK_EQ(*read.message.cause, 34);
+  CHECK_EQ(jsonl::read(read.message.text()).message.text(), read.message.text());
+  const jsonl::ReadResult bad = jsonl::read("{\"type\":\"setup\",\"id\":\"9b1f03aa5c7e2d41\",]\n");
+  CHECK(bad.state == jsonl::ReadState::malformed);
+  CHECK_EQ(bad.message.id, "9b1f03aa5c7e2d41");
+  CHECK(jsonl::read("{\"type\":\"setup\",\"id\":\"short\"}\n").message.id.empty());
+  CHECK(jsonl::read(std::string(jsonl::kLineBound, 'x')).lost);
+  CHECK(jsonl::read(std::string(5000, '[') + "\n").state == jsonl::ReadState::malformed);
+}
+
+void events_of_the_journal() {
+  http::Head head;
+  const std::string text = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  CHECK(http::read_head(text.substr(0, 20), head) == http::HeadState::more);
+  CHECK(http::read_head(text, head) == http::HeadState::whole);
+  CHECK(http::read_head("SSH-2.0\r\n\r\n", head) == http::HeadState::malformed);
+  http::Body body(head);
+  std::string out;
+  CHECK_EQ(*body.take("5\r\n: hi\n\r\n1b\r\nid: 7\ndata: {\"a\":\ndata: 1}\n\r\n", out), 43U);
+  CHECK(!http::take_event(out));  // the event is not whole: no empty line yet
+  body.take("1\r\n\n\r\n0\r\n\r\n", out);
+  CHECK(body.done());
+  const auto event = http::take_event(out);
+  CHECK(event.has_value());
+  CHECK_EQ(event->id, "7");
+  CHECK_EQ(event->data, "{\"a\":\n1}");
+  http::Body broken(head);
+  CHECK(!broken.take("zz\r\n", out));
+}
+
+// The ring against a plain string.
+void ring_is_a_queue() {
+  for (std::uint32_t seed = 1; seed <= 20; ++seed) {
+    std::mt19937 random(seed);
+    net::Ring ring(5000);
+    std::string model;
+    for (int step = 0; step < 2000; ++step) {
+      const std::size_t count = random() % 1500;
+      if (random() % 2 == 0) {
+        const std::string bytes(count, static_cast<char>('a' + random() % 26));
+        const bool fits = model.size() + count <= 5000;
+        CHECK_EQ(ring.put(bytes), fits);
+        if (fits) model += bytes;
+      } else {
+        ring.drop(count);
+        model.erase(0, std::min(count, model.size()));
+      }
+      CHECK_EQ(ring.size(), model.size());
+      if (random() % 8 == 0) CHECK_EQ(ring.contents(), std::string_view(model));
+    }
+  }
+}
+
+// Whatever comes in, a reader uses no more than it was given and ends.
+void readers_survive_noise() {
+  std::mt19937 random(7);
+  const std::string seeds[] = {"INVITE sip:a@b SIP/2.0\r\nContent-Length: 3\r\n\r\nabc",
+                               "{\"id\":1,\"type\":[]}\n", "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx"};
+  for (int round = 0; round < 20000; ++round) {
+    std::string text = seeds[random() % 3];
+    for (int i = 0; i < 3; ++i) text[random() % text.size()] = static_cast<char>(random());
+    CHECK(sip::read_stream(text).used <= text.size());
+    CHECK(sip::read_datagram(text).used <= text.size());
+    CHECK(jsonl::read(text).used <= text.size());
+    http::Head head;
+    if (http::read_head(text, head) == http::HeadState::whole) CHECK(head.size <= text.size());
+  }
+}
+
+}  // namespace
+
+int main() {
+  sip_comes_in_pieces();
+  sip_refuses_what_is_malformed();
+  json_lines();
+  events_of_the_journal();
+  ring_is_a_queue();
+  readers_survive_noise();
+}
