Give up set-ups on a connection to a server that has vanished

At fault: SetupServers kept sending on the silent connection and left its set-ups there to their deadlines. Now a silent connection is closed once a new one does not come up, which gives its set-ups up; they go elsewhere after the release guard.

--- a/src/back/setup_servers.cpp
+++ b/src/back/setup_servers.cpp
@@ -14,7 +14,7 @@
 constexpr Duration kReconnectPause = 250ms;
 // A server with calls that says nothing for so long is tried on a new connection: a machine that vanished
 // leaves the old one open and silent.
-constexpr Duration kSuspicious = 2s;
+constexpr Duration kSuspicious = 1200ms;
 // After so long without a byte and without a connection its calls are taken to be over (8 s are allowed).
 constexpr Duration kVanished = 5s;
 // A process that died refuses at once; a short restart is let pass.
@@ -193,6 +193,12 @@
   server->connecting.reset();
   server->refused = e.refused;
   if (!server->unreachable_since) server->unreachable_since = now;
+  // The open connection says nothing and no new one comes up: the machine has vanished. Set-ups on the old one
+  // once hung there until their callers gave up, and new ones followed them; given up, they can go elsewhere.
+  if (!e.refused && server->current && now - server->heard > kSuspicious) {
+    counters_.add("servers.connections_dead");
+    let_go(*server->current, false, out);
+  }
   for (auto leg = legs_.begin(); leg != legs_.end();) {
     const auto next = std::next(leg);
     if (leg->second.server == server->id && leg->second.state == LegState::queued) {
@@ -258,14 +264,13 @@
   const bool silent = has_calls && now - server.heard > kSuspicious;
   const bool wanted = server.host.state == ServerState::in_service || has_calls;
   if (wanted && !server.connecting && now >= server.next_connect && (!server.current || silent)) {
-    // A server alive that has nothing to say is asked rarely.
-    if (server.current) server.next_connect = now + kSuspicious;
     connect(now, server, out);
-    if (server.current) server.next_connect = now + kSuspicious / 2;
+    // One that is alive and has nothing to say is not asked all the time.
+    if (server.current) server.next_connect = now + kSuspicious;
   }
   if (has_calls && server.unreachable_since) {
     const Duration unreachable = now - *server.unreachable_since;
-    const bool vanished = now - server.heard > kVanished && unreachable > kSuspicious;
+    const bool vanished = now - server.heard > kVanished && unreachable > 2 * kSuspicious;
     const bool died = server.lost_at && server.refused && now - *server.lost_at > kDied;
     if (vanished || died) {
       counters_.add(died ? "servers.died" : "servers.vanished");
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -193,6 +193,22 @@
   CHECK_EQ(lab.line().type, "release");
 }
 
+void set_ups_at_a_vanished_server_go_elsewhere() {  // they hung until their callers gave up
+  Ready lab;
+  lab.receive(kCaller, set_up(kId, 4000));
+  lab.invite(lab.s0);
+  for (int i = 0; i < 25; ++i) {
+    lab.pass(100ms);
+    for (const net::Connect& c : std::exchange(lab.connects, {})) {
+      if (c.address == "127.0.0.1:9000") lab.tell(net::ConnectFailed{c.conn, false});
+    }
+  }
+  const auto at_other = lab.messages(lab.s1);
+  CHECK_EQ(at_other.size(), 1U);
+  CHECK_EQ(at_other[0].header("Call-ID"), kId);
+  CHECK(std::find(lab.closed.begin(), lab.closed.end(), lab.s0) != lab.closed.end());
+}
+
 void calls_of_a_quiet_server_are_kept() {  // it has nothing to say but can be reached
   Ready lab;
   lab.receive(kCaller, set_up());
@@ -385,6 +401,7 @@
   nothing_new_to_a_server_that_drains();
   a_lost_connection_gives_up_its_set_ups_only();
   calls_of_a_vanished_server_are_released_in_time();
+  set_ups_at_a_vanished_server_go_elsewhere();
   calls_of_a_quiet_server_are_kept();
   a_release_finds_another_connection();
   malformed_lines_are_refused_and_harm_nobody();
