--- a/src/controller.cpp
+++ b/src/controller.cpp
@@ -679,7 +679,7 @@
         again + kAnswerMargin < call.request.deadline) {
       return hold(call, again);
     }
-    conclude(call, Refuse{call.request.call, {}});
+    conclude(call, Refuse{call.request.call, settings_.max_stay_away});
   }
 
   // The destination while it has free lines and its throttle lets the call pass; else, of two drawn core
--- a/tests/controller_test.cpp
+++ b/tests/controller_test.cpp
@@ -43,7 +43,9 @@
 
 TEST(Answer, RefusesWithoutAnyServer) {
   Script script(settings_with());
-  EXPECT_TRUE(has<Refuse>(script.call(0s, 1)));
+  const auto refused = first<Refuse>(script.call(0s, 1));
+  ASSERT_TRUE(refused);
+  EXPECT_EQ(refused->stay_away, settings_with().max_stay_away);  // callers once dialled again at once
 }
 
 TEST(Answer, RefusesCallsInTransitAndMeshedLayouts) {
