--- a/src/app/gatekeeper.cpp
+++ b/src/app/gatekeeper.cpp
@@ -51,13 +51,19 @@
       sip_(sip_settings(config, deploy), counters_),
       servers_(config.settings, config.areas, counters_),
       journal_(config.journal, config.known_position, counters_),
-      exporter_(exporter_settings(config, deploy), counters_) {}
+      exporter_(exporter_settings(config, deploy), counters_) {
+  if (deploy.sip_server_transport != "platform") {
+    trunk_.emplace(
+        back::SipTrunkSettings{deploy.sip_server_transport == "tcp", deploy.sip_servers_from, config.seed},
+        config.areas, counters_);
+  }
+}
 
 void Gatekeeper::step(Time now, const net::Event& event, net::Effects& effects) {
   Outbox out;
   std::visit([&](const auto& e) { on(now, e, out); }, event);
   settle(now, out);
-  const bool ready = !stop_asked_ && servers_.ready();
+  const bool ready = !stop_asked_ && (trunk_ ? trunk_->ready() : servers_.ready());
   platform_.ready(ready);
   sip_.ready(ready);
   finish_if_drained(now, out);
@@ -76,14 +82,17 @@
 }
 
 void Gatekeeper::apply(Time now, const core::Effect& effect, Outbox& out) {
+  const auto to_servers = [&](const auto& e) {
+    trunk_ ? trunk_->apply(now, e, out) : servers_.apply(now, e, out);
+  };
   std::visit(Overloaded{
-                 [&](const core::StartAttempt& e) { servers_.apply(now, e, out); },
-                 [&](const core::AbandonAttempt& e) { servers_.apply(now, e, out); },
-                 [&](const core::ReleaseServer& e) { servers_.apply(now, e, out); },
+                 [&](const core::StartAttempt& e) { to_servers(e); },
+                 [&](const core::AbandonAttempt& e) { to_servers(e); },
+                 [&](const core::ReleaseServer& e) { to_servers(e); },
                  [&](const core::SetAlarm& e) { out.arm(net::Concern::broker, e.timer, e.at); },
                  [&](const core::Note& e) { out.log(net::Level::info, e.text); },
                  [&](const core::RequestAnswered& e) {
-                   exporter_.note(now, e, [this](ServerId id) { return servers_.name_of(id); });
+                   exporter_.note(now, e, [this](ServerId id) { return name_of(id); });
                  },
                  [&](const auto& e) {  // to the caller, by the front that it came by
                    if (core::front_of(e.call) == core::Front::sip) {
@@ -96,20 +105,29 @@
              effect);
 }
 
+void Gatekeeper::take_list(Time now, const HostList& list, ListKind kind, Outbox& out) {
+  trunk_ ? trunk_->take(now, list, kind, out) : servers_.take(now, list, kind, out);
+}
+
+const std::string& Gatekeeper::name_of(ServerId server) const {
+  return trunk_ ? trunk_->name_of(server) : servers_.name_of(server);
+}
+
 // ---- events
 
 void Gatekeeper::on(Time now, const net::Started&, Outbox& out) {
   out.net.push_back(net::Listen{net::Concern::platform, config_.listen});
-  servers_.start(now, out);
-  HostList none;
-  if (config_.known.empty()) servers_.take(now, none, ListKind::remembered, out);
+  if (trunk_) {
+    trunk_->start(now, out);
+  } else {
+    servers_.start(now, out);
+  }
   bool first = true;
   for (const HostList& list : config_.known) {
-    servers_.take(now, list,
-                  std::exchange(first, false) ? ListKind::remembered
-                  : list.whole                ? ListKind::all
-                                              : ListKind::changes,
-                  out);
+    const ListKind kind = std::exchange(first, false) ? ListKind::remembered
+                          : list.whole                ? ListKind::all
+                                                      : ListKind::changes;
+    take_list(now, list, kind, out);
   }
   journal_.start(now, out);
   sip_.start(out);
@@ -120,12 +138,14 @@
 void Gatekeeper::on(Time now, const net::Accepted& e, Outbox& out) {
   if (e.conn.concern == net::Concern::platform) platform_.on(now, e, out);
   if (e.conn.concern == net::Concern::sip) sip_.on(now, e, out);
+  if (e.conn.concern == net::Concern::trunk) trunk_->on(now, e, out);
 }
 
 void Gatekeeper::on(Time now, const net::Connected& e, Outbox& out) {
   if (e.conn.concern == net::Concern::server) servers_.on(now, e, out);
   if (e.conn.concern == net::Concern::journal) journal_.on(now, e, out);
   if (e.conn.concern == net::Concern::sip) sip_.on(now, e, out);
+  if (e.conn.concern == net::Concern::trunk) trunk_->on(now, e, out);
   if (e.conn.concern == net::Concern::collector) exporter_.on(now, e, out);
 }
 
@@ -133,6 +153,7 @@
   if (e.conn.concern == net::Concern::server) servers_.on(now, e, out);
   if (e.conn.concern == net::Concern::journal) journal_.on(now, e, out);
   if (e.conn.concern == net::Concern::sip) sip_.on(now, e, out);
+  if (e.conn.concern == net::Concern::trunk) trunk_->on(now, e, out);
   if (e.conn.concern == net::Concern::collector) exporter_.on(now, e, out);
 }
 
@@ -144,9 +165,10 @@
   }
   if (e.conn.concern == net::Concern::journal) {
     for (const HostList& list : journal_.on(now, e, out))
-      servers_.take(now, list, list.whole ? ListKind::all : ListKind::changes, out);
+      take_list(now, list, list.whole ? ListKind::all : ListKind::changes, out);
   }
   if (e.conn.concern == net::Concern::sip) sip_.on(now, e, out);
+  if (e.conn.concern == net::Concern::trunk) trunk_->on(now, e, out);
   if (e.conn.concern == net::Concern::collector) exporter_.on(now, e, out);
 }
 
@@ -155,11 +177,13 @@
   if (e.conn.concern == net::Concern::server) servers_.on(now, e, out);
   if (e.conn.concern == net::Concern::journal) journal_.on(now, e, out);
   if (e.conn.concern == net::Concern::sip) sip_.on(now, e, out);
+  if (e.conn.concern == net::Concern::trunk) trunk_->on(now, e, out);
   if (e.conn.concern == net::Concern::collector) exporter_.on(now, e, out);
 }
 
 void Gatekeeper::on(Time now, const net::Datagram& e, Outbox& out) {
   if (e.concern == net::Concern::sip) sip_.on(now, e, out);
+  if (e.concern == net::Concern::trunk) trunk_->on(now, e, out);
 }
 
 void Gatekeeper::on(Time now, const net::TimerFired& e, Outbox& out) {
@@ -167,6 +191,7 @@
   if (e.key.concern == net::Concern::server) servers_.on(now, e, out);
   if (e.key.concern == net::Concern::journal) journal_.on(now, e, out);
   if (e.key.concern == net::Concern::sip) sip_.on(now, e, out);
+  if (e.key.concern == net::Concern::trunk) trunk_->on(now, e, out);
   if (e.key.concern == net::Concern::collector) exporter_.on(now, e, all_counters(), out);
   if (e.key.concern == net::Concern::process) out.arm(net::Concern::process, 0, now + kLook);
 }
--- a/src/app/gatekeeper.h
+++ b/src/app/gatekeeper.h
@@ -9,6 +9,7 @@
 #include "app/outbox.h"
 #include "back/journal.h"
 #include "back/setup_servers.h"
+#include "back/sip_trunk.h"
 #include "config/config.h"
 #include "core/broker.h"
 #include "front/platform.h"
@@ -37,6 +38,8 @@
   void on(Time now, const net::StopAsked& e, Outbox& out);
   void on(Time now, const net::CountersAsked& e, Outbox& out);
 
+  void take_list(Time now, const HostList& list, ListKind kind, Outbox& out);
+  const std::string& name_of(ServerId server) const;
   void settle(Time now, Outbox& out);
   void apply(Time now, const core::Effect& effect, Outbox& out);
   void finish_if_drained(Time now, Outbox& out);
@@ -50,7 +53,9 @@
   core::Broker broker_;
   front::Platform platform_;
   front::Sip sip_;
+  // One of them speaks to the setup servers.
   back::SetupServers servers_;
+  std::optional<back::SipTrunk> trunk_{};
   back::Journal journal_;
   otlp::Exporter exporter_;
   std::optional<Time> stop_asked_{};
--- a/src/back/setup_servers.cpp
+++ b/src/back/setup_servers.cpp
@@ -24,16 +24,9 @@
 // An attempt that was given up, or a call that was released, is remembered so long for what comes late.
 constexpr Duration kRemembered = 10s;
 
-constexpr int kNormal = 16;
+constexpr int kNormal = 16;  // causes of Q.850
 constexpr int kCut = 41;
 
-int cause_in(std::string_view reason) {
-  const std::string_view text = sip::parameter(reason, "cause");
-  int cause = kNormal;
-  std::from_chars(text.data(), text.data() + text.size(), cause);
-  return cause;
-}
-
 sip::Message request(std::string_view method, const std::string& number, const std::string& label, int cseq,
                      std::string_view cseq_method = {}) {
   sip::Message m;
@@ -60,6 +53,15 @@
   }
 }
 
+}  // namespace
+
+int cause_in(std::string_view reason) {
+  const std::string_view text = sip::parameter(reason, "cause");
+  int cause = kNormal;
+  std::from_chars(text.data(), text.data() + text.size(), cause);
+  return cause;
+}
+
 FullReason reason_of(std::string_view word) {
   if (word == "all_trunks_busy") return FullReason::no_line;
   if (word == "via_said_no" || word == "far_cpu_full") return FullReason::returned;
@@ -68,8 +70,6 @@
   return FullReason::none;
 }
 
-}  // namespace
-
 LoadReport report_of(const sip::Message& m) {
   LoadReport report;
   std::string_view rest = m.header("P-Load");
@@ -98,9 +98,10 @@
     for (auto& [id, server] : servers_) server.host.state = ServerState::terminated;
   }
   for (const Host& host : list.hosts) {
-    const auto [name, fresh] = ids_.try_emplace(host.uid, ServerId{static_cast<std::uint32_t>(ids_.size())});
-    Server& server = servers_[name->second];
-    server.id = name->second;
+    const ServerId id = directory_.id_of(host.uid);
+    const auto [place, fresh] = servers_.try_emplace(id);
+    Server& server = place->second;
+    server.id = id;
     const bool moved = !fresh && server.host.address != host.address && !host.address.empty();
     const bool restarted = !fresh && host.started && server.host.started != host.started;
     const std::string address = host.address.empty() ? server.host.address : host.address;
@@ -115,15 +116,7 @@
         if (id != server.id && other.host.address == address) other.current.reset();
       }
     }
-    ServerEntry entry;
-    entry.server = server.id;
-    const auto area = std::find(areas_.begin(), areas_.end(), host.area);
-    entry.zone = Zone{static_cast<std::uint32_t>(area - areas_.begin())};
-    entry.pool = host.pool;
-    entry.state = host.state;
-    entry.weight = host.weight;
-    entry.online_since = host.started;
-    told.entries.push_back(entry);
+    told.entries.push_back(directory_.entry_of(id, host));
   }
   out.tell(core::ServersChanged{std::move(told)});
   for (auto& [id, server] : servers_) {
@@ -193,8 +186,9 @@
   server->connecting.reset();
   server->refused = e.refused;
   if (!server->unreachable_since) server->unreachable_since = now;
-  // The open connection says nothing and no new one comes up: the machine has vanished. Set-ups on the old one
-  // once hung there until their callers gave up, and new ones followed them; given up, they can go elsewhere.
+  // The open connection says nothing and no new one comes up: the machine has vanished. Set-ups on the old
+  // one once hung there until their callers gave up, and new ones followed them; given up, they can go
+  // elsewhere.
   if (!e.refused && server->current && now - server->heard > kSuspicious) {
     counters_.add("servers.connections_dead");
     let_go(*server->current, false, out);
--- a/src/back/setup_servers.h
+++ b/src/back/setup_servers.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "app/outbox.h"
+#include "back/directory.h"
 #include "config/config.h"
 #include "core/counters.h"
 #include "proto/sip.h"
@@ -23,7 +24,7 @@
 class SetupServers {
  public:
   SetupServers(const Settings& settings, std::vector<std::string> areas, Counters& counters)
-      : connect_within_(settings.connect_within), areas_(std::move(areas)), counters_(counters) {}
+      : connect_within_(settings.connect_within), directory_(std::move(areas)), counters_(counters) {}
 
   void start(Time now, Outbox& out);
   // News of the list. Tells the broker of it, under the ids that servers have here.
@@ -91,16 +92,17 @@
   void send(Leg& leg, const sip::Message& m, Outbox& out);
 
   Duration connect_within_;
-  std::vector<std::string> areas_;
+  Directory directory_;
   Counters& counters_;
-  std::map<std::string, ServerId> ids_;  // by uid
   std::map<ServerId, Server> servers_;
   std::map<std::uint32_t, Connection> connections_;
   Legs legs_;
   std::uint32_t last_connection_ = 0;
 };
 
-// What a server tells of itself in P-Load.
-LoadReport report_of(const sip::Message& m);
+// What servers say in SIP, whichever way they are spoken to.
+LoadReport report_of(const sip::Message& m);  // in P-Load
+int cause_in(std::string_view reason);        // in a Reason header
+FullReason reason_of(std::string_view word);  // in Warning-Word
 
 }  // namespace graniterun::back
--- /dev/null
+++ b/src/back/sip_trunk.cpp
@@ -0,0 +1,369 @@
+#include "back/sip_trunk.h"
+
+#include "back/setup_servers.h"
+
+namespace graniterun::back {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr Duration kTick = 50ms;
+constexpr std::uint64_t kTickTimer = ~std::uint64_t{0} >> 1;  // apart from those of the transactions
+// So long the end of an attempt that was given up is awaited before the call may go on elsewhere.
+constexpr Duration kEndAwaited = 120ms;
+// A leg that is over is kept for what comes late: a success after that would be a repeat of 64 T1 ago.
+constexpr Duration kRemembered = 2 * sip::k64T1;
+constexpr int kNormal = 16;
+
+core::AttemptOver ended_as(Outcome outcome) {
+  core::AttemptOver ended;
+  ended.outcome = outcome;
+  return ended;
+}
+
+Outcome outcome_of(int status) {
+  switch (status) {
+    case 503:
+      return Outcome::full;
+    case 408:
+      return Outcome::timed_out;
+    case 487:
+      return Outcome::cancelled;
+    case 504:
+      return Outcome::reset;
+    default:
+      return Outcome::busy_or_fault;
+  }
+}
+
+}  // namespace
+
+SipTrunk::SipTrunk(SipTrunkSettings settings, std::vector<std::string> areas, Counters& counters)
+    : settings_(std::move(settings)),
+      counters_(counters),
+      directory_(std::move(areas)),
+      transport_(net::Concern::trunk, counters),
+      transactions_(net::Concern::trunk, transport_, counters),
+      words_(settings_.seed * 3 + 1) {}
+
+void SipTrunk::start(Time now, Outbox& out) {
+  if (settings_.reliable) {
+    out.net.push_back(net::Listen{net::Concern::trunk, settings_.address});
+  } else {
+    out.net.push_back(net::Bind{net::Concern::trunk, settings_.address});
+  }
+  out.arm(net::Concern::trunk, kTickTimer, now + kTick);
+}
+
+void SipTrunk::take(Time, const HostList& list, ListKind kind, Outbox& out) {
+  ServerList told;
+  told.kind = kind;
+  if (kind != ListKind::changes) {
+    for (auto& [id, host] : hosts_) host.state = ServerState::terminated;
+  }
+  for (const Host& host : list.hosts) {
+    const ServerId id = directory_.id_of(host.uid);
+    const auto [known, fresh] = hosts_.try_emplace(id, host);
+    if (!fresh && host.started && known->second.started != host.started) end_calls(id, host.started, out);
+    known->second = host;
+    told.entries.push_back(directory_.entry_of(id, host));
+  }
+  out.tell(core::ServersChanged{std::move(told)});
+  for (const auto& [id, host] : hosts_) {
+    if (host.state == ServerState::terminated) end_calls(id, {}, out);
+  }
+}
+
+bool SipTrunk::ready() const {
+  return std::any_of(hosts_.begin(), hosts_.end(),
+                     [](const auto& h) { return h.second.state == ServerState::in_service; });
+}
+
+const std::string& SipTrunk::name_of(ServerId server) const {
+  static const std::string kUnknown = "unknown";
+  const auto it = hosts_.find(server);
+  return it == hosts_.end() ? kUnknown : it->second.uid;
+}
+
+// ---- the runtime's events
+
+void SipTrunk::on(Time, const net::Accepted& e, Outbox&) { transport_.accepted(e.conn.number); }
+void SipTrunk::on(Time, const net::Connected& e, Outbox& out) { transport_.connected(e.conn.number, out); }
+
+void SipTrunk::on(Time, const net::ConnectFailed& e, Outbox& out) {
+  const std::string peer = transport_.connect_failed(e.conn.number);
+  for (auto& [id, leg] : legs_) {
+    if (leg.flow.peer == peer && !leg.provisional) over(leg, ended_as(Outcome::no_connection), out);
+  }
+}
+
+void SipTrunk::on(Time, const net::Closed& e, Outbox& out) {
+  const std::string peer = transport_.closed(e.conn.number);
+  for (auto& [id, leg] : legs_) {
+    if (!peer.empty() && leg.flow.peer == peer) over(leg, ended_as(Outcome::reset), out);
+  }
+}
+
+void SipTrunk::on(Time now, const net::Received& e, Outbox& out) {
+  for (sip::Incoming& incoming : transport_.received(e, out)) take_message(now, std::move(incoming), out);
+}
+
+void SipTrunk::on(Time now, const net::Datagram& e, Outbox& out) {
+  take_message(now, transport_.datagram(e), out);
+}
+
+void SipTrunk::on(Time now, const net::TimerFired& e, Outbox& out) {
+  if (e.key.number != kTickTimer) {
+    for (const sip::Lapse& lapse : transactions_.fired(now, e.key.number, out)) {
+      if (lapse.what != sip::Lapse::What::no_answer) continue;
+      for (auto& [id, leg] : legs_) {  // timer B
+        const bool own =
+            lapse.key == std::string(sip::parameter(leg.invite.header("Via"), "branch")) + "|INVITE";
+        if (own) over(leg, ended_as(Outcome::timed_out), out);
+      }
+    }
+    return;
+  }
+  out.arm(net::Concern::trunk, kTickTimer, now + kTick);
+  for (auto it = legs_.begin(); it != legs_.end();) {
+    Leg& leg = it->second;
+    if (leg.state == State::abandoned && !leg.told && now - leg.since > kEndAwaited)
+      over(leg, ended_as(Outcome::cancelled), out);
+    const bool done = (leg.state == State::abandoned || leg.state == State::over) && leg.told;
+    it = done && now - leg.since > kRemembered ? legs_.erase(it) : std::next(it);
+  }
+}
+
+// ---- the broker's effects
+
+std::string SipTrunk::via() {
+  return std::string(settings_.reliable ? "SIP/2.0/TCP " : "SIP/2.0/UDP ") + settings_.address +
+         ";branch=" + std::string(sip::kCookie) + words_.next();
+}
+
+void SipTrunk::apply(Time now, const core::StartAttempt& e, Outbox& out) {
+  const auto host = hosts_.find(e.server);
+  if (host == hosts_.end()) return;
+  const core::Request& r = *e.request;
+  const std::string call_id = r.label + "-" + std::to_string(e.attempt) + "@" + settings_.address;
+  Leg& leg = legs_[call_id];
+  leg.request = e.request;
+  leg.attempt = e.attempt;
+  leg.server = e.server;
+  leg.state = State::calling;
+  leg.since = now;
+  leg.flow = {settings_.reliable, 0, host->second.address};
+  sip::Message& m = leg.invite;
+  m.method = "INVITE";
+  m.uri = "sip:" + r.number_text + "@" + host->second.address;
+  m.add("Via", via());
+  m.add("Max-Forwards", "70");
+  m.add("From", "<sip:graniterun@" + settings_.address + ">;tag=" + words_.next());
+  m.add("To", "<" + m.uri + ">");
+  m.add("Call-ID", call_id);
+  m.add("CSeq", "1 INVITE");
+  m.add("Contact", "<sip:graniterun@" + settings_.address + (settings_.reliable ? ";transport=tcp>" : ">"));
+  m.add("Priority-Class", r.class_name);
+  const auto left = std::chrono::ceil<std::chrono::milliseconds>(e.give_up_at - now).count();
+  m.add("Expires", std::to_string(std::max<std::int64_t>(1, (left + 999) / 1000)));
+  m.add("Expires-Ms", std::to_string(std::max<std::int64_t>(1, left)));
+  if (!r.description.empty()) m.add("Content-Type", "application/sdp");
+  m.body = r.description;
+  counters_.add("trunk.invites");
+  transactions_.send_request(now, leg.flow, m, out);
+}
+
+void SipTrunk::apply(Time now, const core::AbandonAttempt& e, Outbox& out) {
+  Leg* leg = find(e.call, e.attempt);
+  if (leg == nullptr || leg->state != State::calling) return;
+  leg->state = State::abandoned;
+  leg->since = now;
+  if (leg->provisional) {
+    cancel(now, *leg, out);
+  } else {
+    // A repeat now could begin at the server what has been given up here.
+    transactions_.stop_resending(leg->invite);
+  }
+}
+
+void SipTrunk::apply(Time now, const core::ReleaseServer& e, Outbox& out) {
+  for (auto& [id, leg] : legs_) {
+    if (leg.request->call != e.call || leg.state != State::stands) continue;
+    leg.told = true;
+    return bye(now, leg, e.cause, out);
+  }
+}
+
+// §9.1: the INVITE's own Via, and its number.
+void SipTrunk::cancel(Time now, Leg& leg, Outbox& out) {
+  if (std::exchange(leg.cancelled, true)) return;
+  sip::Message m;
+  m.method = "CANCEL";
+  m.uri = leg.invite.uri;
+  for (const char* name : {"Via", "Max-Forwards", "From", "To", "Call-ID"})
+    m.add(name, std::string(leg.invite.header(name)));
+  m.add("CSeq", "1 CANCEL");
+  counters_.add("trunk.cancels");
+  transactions_.send_request(now, leg.flow, m, out);
+}
+
+sip::Message SipTrunk::in_dialog(Leg& leg, const std::string& method, std::uint32_t cseq) {
+  sip::Message m;
+  m.method = method;
+  m.uri = leg.target;
+  m.add("Via", via());
+  m.add("Max-Forwards", "70");
+  for (const std::string& route : leg.routes) m.add("Route", route);
+  m.add("From", std::string(leg.invite.header("From")));
+  m.add("To", leg.remote);
+  m.add("Call-ID", std::string(leg.invite.header("Call-ID")));
+  m.add("CSeq", std::to_string(cseq) + " " + method);
+  return m;
+}
+
+void SipTrunk::bye(Time now, Leg& leg, int cause, Outbox& out) {
+  sip::Message m = in_dialog(leg, "BYE", ++leg.cseq);
+  m.add("Reason", "Q.850;cause=" + std::to_string(cause));
+  counters_.add("trunk.byes_out");
+  transactions_.send_request(now, leg.flow, m, out);
+  leg.state = State::over;
+  leg.since = now;
+}
+
+// ---- what servers send
+
+void SipTrunk::take_message(Time now, sip::Incoming incoming, Outbox& out) {
+  if (incoming.read.state == sip::ReadState::more) return;
+  if (incoming.read.state == sip::ReadState::malformed) {
+    counters_.add("trunk.malformed");
+    out.log(net::Level::warning, "a setup server's SIP message is refused: " + incoming.read.trouble);
+    if (incoming.flow.reliable && incoming.read.lost) {
+      out.close({net::Concern::trunk, incoming.flow.conn});
+      on(now, net::Closed{{net::Concern::trunk, incoming.flow.conn}, false}, out);
+    }
+    return;
+  }
+  if (incoming.read.message.is_request()) {
+    requested(now, incoming.flow, incoming.read.message, out);
+  } else {
+    answered(now, incoming.read.message, out);
+  }
+}
+
+void SipTrunk::answered(Time now, const sip::Message& m, Outbox& out) {
+  if (transactions_.take_answer(now, m, out).empty()) return;
+  const auto cseq = sip::cseq_of(m);
+  Leg* leg = find(m.header("Call-ID"));
+  if (leg == nullptr || !cseq || cseq->method != "INVITE") return;
+  if (m.status < 200) {
+    leg->provisional = true;
+    if (leg->state == State::abandoned) cancel(now, *leg, out);
+    return;
+  }
+  if (m.status >= 300) {
+    counters_.add("trunk.refusals." + std::to_string(m.status));
+    core::AttemptOver ended =
+        ended_as(leg->state == State::abandoned ? Outcome::cancelled : outcome_of(m.status));
+    ended.reason = reason_of(m.header("Warning-Word"));
+    if (ended.outcome == Outcome::full && ended.reason == FullReason::none)
+      ended.reason = FullReason::processor;
+    if (m.status == 486 || m.status == 600) ended.reason = FullReason::number_busy;
+    ended.report = report_of(m);
+    if (leg->state == State::calling || leg->state == State::abandoned) over(*leg, ended, out);
+    return;
+  }
+  // Every success is acknowledged, repeats too; a second dialog out of a fork is ended at once.
+  const std::string remote(m.header("To"));
+  Leg other = *leg;
+  const bool forked =
+      !leg->remote.empty() && sip::parameter(leg->remote, "tag") != sip::parameter(remote, "tag");
+  Leg& dialog = forked ? other : *leg;
+  dialog.remote = remote;
+  const std::string_view contact = m.header("Contact");
+  dialog.target = contact.empty() ? leg->invite.uri : std::string(sip::uri_in(contact));
+  const auto recorded = m.all("Record-Route");
+  dialog.routes.assign(recorded.rbegin(), recorded.rend());
+  transport_.send(dialog.flow, in_dialog(dialog, "ACK", 1).text(), out);
+  if (forked) return bye(now, other, kNormal, out);
+  counters_.add("trunk.answers");
+  if (leg->state == State::calling) {
+    leg->state = State::stands;
+    leg->since = now;
+    out.tell(core::AttemptStood{leg->request->call, leg->attempt, m.body});
+  } else if (leg->state == State::abandoned) {
+    // The success crossed our CANCEL: it is acknowledged and ended, and the call is not tried again.
+    counters_.add("trunk.crossed");
+    core::AttemptOver ended = ended_as(Outcome::cancelled);
+    ended.crossed = true;
+    bye(now, *leg, kNormal, out);
+    leg->state = State::abandoned;
+    over(*leg, ended, out);
+  }
+}
+
+void SipTrunk::requested(Time now, const sip::Flow& flow, const sip::Message& m, Outbox& out) {
+  std::string key;
+  if (m.header("Via").empty() || !sip::cseq_of(m)) {
+    counters_.add("trunk.malformed");
+    return;
+  }
+  sip::Flow back = flow;
+  if (transactions_.take_request(now, back, m, key, out) != sip::Transactions::Taken::fresh) return;
+  const auto answer = [&](int status) {
+    transactions_.respond(now, key, sip::answer_to(m, status, sip::phrase_of(status), words_.next()), out);
+  };
+  Leg* leg = find(m.header("Call-ID"));
+  const bool known =
+      leg != nullptr && leg->state == State::stands &&
+      sip::parameter(m.header("To"), "tag") == sip::parameter(leg->invite.header("From"), "tag");
+  if (m.method == "OPTIONS") return answer(200);
+  if (m.method == "CANCEL") return answer(481);
+  if (!known) return answer(sip::parameter(m.header("To"), "tag").empty() ? 405 : 481);
+  if (m.method != "BYE") return answer(m.method == "INVITE" ? 488 : 501);
+  answer(200);
+  counters_.add("trunk.byes_in");
+  const int cause = cause_in(m.header("Reason"));
+  core::AttemptOver ended = ended_as(cause == kNormal ? Outcome::ok : Outcome::reset);
+  ended.cause = cause;
+  ended.report = report_of(m);
+  leg->since = now;
+  over(*leg, ended, out);
+}
+
+// ---- small things
+
+void SipTrunk::over(Leg& leg, core::AttemptOver ended, Outbox& out) {
+  if (leg.told || leg.state == State::over) return;
+  const bool connection_lost =
+      ended.outcome == Outcome::reset && ended.cause == 0 && leg.state == State::stands;
+  if (connection_lost) return;  // a call that stands belongs to no connection
+  leg.told = true;
+  if (leg.state != State::abandoned) leg.state = State::over;
+  ended.call = leg.request->call;
+  ended.attempt = leg.attempt;
+  out.tell(std::move(ended));
+}
+
+void SipTrunk::end_calls(ServerId server, std::optional<Time> stood_before, Outbox& out) {
+  for (auto& [id, leg] : legs_) {
+    if (leg.server != server || leg.state != State::stands) continue;
+    if (stood_before && leg.since >= *stood_before) continue;
+    core::AttemptOver ended = ended_as(Outcome::reset);
+    ended.cause = 41;
+    over(leg, ended, out);
+  }
+}
+
+SipTrunk::Leg* SipTrunk::find(std::string_view call_id) {
+  const auto it = legs_.find(std::string(call_id));
+  return it == legs_.end() ? nullptr : &it->second;
+}
+
+SipTrunk::Leg* SipTrunk::find(CallId call, int attempt) {
+  for (auto& [id, leg] : legs_) {
+    if (leg.request->call == call && leg.attempt == attempt) return &leg;
+  }
+  return nullptr;
+}
+
+}  // namespace graniterun::back
--- /dev/null
+++ b/src/back/sip_trunk.h
@@ -0,0 +1,88 @@
+// Setup servers that speak SIP as RFC 3261 has it, over UDP or TCP: a user agent client with transactions and
+// dialogs of its own. It takes the place of SetupServers where the deploy file says so.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "app/outbox.h"
+#include "back/directory.h"
+#include "core/counters.h"
+#include "core/words.h"
+#include "sip/transactions.h"
+
+namespace graniterun::back {
+
+struct SipTrunkSettings {
+  bool reliable{};        // TCP
+  std::string address{};  // from where, and where servers reach us
+  std::uint64_t seed{};
+};
+
+class SipTrunk {
+ public:
+  SipTrunk(SipTrunkSettings settings, std::vector<std::string> areas, Counters& counters);
+
+  void start(Time now, Outbox& out);
+  void take(Time now, const HostList& list, ListKind kind, Outbox& out);
+  void on(Time now, const net::Accepted& e, Outbox& out);
+  void on(Time now, const net::Connected& e, Outbox& out);
+  void on(Time now, const net::ConnectFailed& e, Outbox& out);
+  void on(Time now, const net::Received& e, Outbox& out);
+  void on(Time now, const net::Closed& e, Outbox& out);
+  void on(Time now, const net::Datagram& e, Outbox& out);
+  void on(Time now, const net::TimerFired& e, Outbox& out);
+
+  void apply(Time now, const core::StartAttempt& e, Outbox& out);
+  void apply(Time now, const core::AbandonAttempt& e, Outbox& out);
+  void apply(Time now, const core::ReleaseServer& e, Outbox& out);
+
+  bool ready() const;
+  const std::string& name_of(ServerId server) const;
+
+ private:
+  enum class State { calling, abandoned, stands, over };
+  struct Leg {
+    std::shared_ptr<const core::Request> request{};
+    int attempt{};
+    ServerId server{};
+    State state{};
+    Time since{};
+    sip::Message invite{};
+    sip::Flow flow{};
+    bool provisional = false;  // a CANCEL may be sent only after one (§9.1)
+    bool cancelled = false;
+    bool told = false;  // the broker knows that the attempt is over
+    // The dialog (§12).
+    std::string remote{};  // To, with the server's tag
+    std::string target{};
+    std::vector<std::string> routes{};
+    std::uint32_t cseq = 1;
+  };
+  using Legs = std::map<std::string, Leg>;  // by Call-ID
+
+  void take_message(Time now, sip::Incoming incoming, Outbox& out);
+  void answered(Time now, const sip::Message& m, Outbox& out);
+  void requested(Time now, const sip::Flow& flow, const sip::Message& m, Outbox& out);
+  void over(Leg& leg, core::AttemptOver ended, Outbox& out);
+  void cancel(Time now, Leg& leg, Outbox& out);
+  sip::Message in_dialog(Leg& leg, const std::string& method, std::uint32_t cseq);
+  void bye(Time now, Leg& leg, int cause, Outbox& out);
+  void end_calls(ServerId server, std::optional<Time> stood_before, Outbox& out);
+  Leg* find(std::string_view call_id);
+  Leg* find(CallId call, int attempt);
+  std::string via();
+
+  SipTrunkSettings settings_;
+  Counters& counters_;
+  Directory directory_;
+  sip::Transport transport_;
+  sip::Transactions transactions_;
+  std::map<ServerId, Host> hosts_;
+  Legs legs_;
+  Words words_;
+};
+
+}  // namespace graniterun::back
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -141,12 +141,11 @@
       const json& sip = whole["sip"];
       if (sip.contains("udp")) c.sip_udp = text(sip, "udp");
       if (sip.contains("tcp")) c.sip_tcp = text(sip, "tcp");
-      c.sip_domain = sip.value("domain", c.sip_domain);
       c.sip_server_transport = sip.value("servers", c.sip_server_transport);
       const std::string& t = c.sip_server_transport;
       if (t != "platform" && t != "udp" && t != "tcp")
         throw BadConfig("'servers' is not one of platform, udp, tcp");
-      if (t == "udp" && !c.sip_udp) throw BadConfig("'servers' is udp but there is no 'udp' to send from");
+      if (t != "platform") c.sip_servers_from = text(sip, "servers_from");
     }
     for (const json& one : whole.value("contracts", json::array())) {
       core::Contract contract;
--- a/src/sip/transactions.cpp
+++ b/src/sip/transactions.cpp
@@ -292,6 +292,11 @@
   return key;
 }
 
+void Transactions::stop_resending(const Message& request) {
+  if (const auto it = clients_.find(client_key(request)); it != clients_.end())
+    it->second.timers.erase(Kind::resend);
+}
+
 // §17.1.1.3: within the transaction, on the same branch.
 void Transactions::ack_refusal(Client& c, const Message& answer, Outbox& out) {
   Message ack;
--- a/src/sip/transactions.h
+++ b/src/sip/transactions.h
@@ -50,6 +50,9 @@
   // An answer came in: the key of its transaction where the user is to see it; empty where it was absorbed.
   std::string take_answer(Time now, const Message& answer, Outbox& out);
 
+  // Sends a request no more; its transaction still takes what comes.
+  void stop_resending(const Message& request);
+
   std::vector<Lapse> fired(Time now, std::uint64_t timer, Outbox& out);
   std::size_t size() const { return servers_.size() + clients_.size(); }
 
--- a/src/sip/transport.cpp
+++ b/src/sip/transport.cpp
@@ -42,9 +42,14 @@
   return {};
 }
 
-void Transport::closed(std::uint32_t conn) {
+std::string Transport::closed(std::uint32_t conn) {
   open_.erase(conn);
-  std::erase_if(dialled_, [conn](const auto& d) { return d.second.conn == conn; });
+  std::string peer;
+  for (const auto& [address, dialled] : dialled_) {
+    if (dialled.conn == conn) peer = address;
+  }
+  dialled_.erase(peer);
+  return peer;
 }
 
 void Transport::close(std::uint32_t conn, Outbox& out) {
--- a/src/sip/transport.h
+++ b/src/sip/transport.h
@@ -33,7 +33,8 @@
   void connected(std::uint32_t conn, Outbox& out);
   // The peer that could not be reached.
   std::string connect_failed(std::uint32_t conn);
-  void closed(std::uint32_t conn);
+  // The peer that it had been dialled to, if it was.
+  std::string closed(std::uint32_t conn);
   std::vector<Incoming> received(const net::Received& e, Outbox& out);
   Incoming datagram(const net::Datagram& e) const;
 
--- /dev/null
+++ b/tests/integration_test.cpp
@@ -0,0 +1,240 @@
+// The real program over loopback, with stand-ins for callers, a setup server, the journal service, SIP peers
+// and an OTLP collector.
+#include <nlohmann/json.hpp>
+
+#include "proto/sip.h"
+#include "stand_in.h"
+
+using namespace graniterun;
+using namespace graniterun::test;
+using nlohmann::json;
+
+namespace {
+
+std::string binary;
+
+std::string at(int port) { return "127.0.0.1:" + std::to_string(port); }
+
+int free_port() { return Socket::bound(SOCK_STREAM).port(); }
+
+json settings() {
+  const auto call_class = [](const char* name, double worth) {
+    return json{{"name", name},
+                {"promiseNs", 1500000000},
+                {"hardLimitNs", 9000000000},
+                {"worth", worth},
+                {"lateWorth", 0.1},
+                {"effect", "idempotent"},
+                {"group", "all"},
+                {"dedupWindowNs", 5000000000},
+                {"stream", true}};
+  };
+  return {{"areas", {"east side", "west"}},
+          {"az", 0},
+          {"classes", {call_class("voice", 1.0), call_class("safety", 6.0)}},
+          {"clients", {{"marksRetry", true}}},
+          {"familyInfo",
+           {{"classHoldNs", {9900000000, 6000000000}},
+            {"layout", "groups"},
+            {"peerLoad", "answers"},
+            {"poolsByClass", {{0}, {0}}},
+            {"releaseGuardNs", 200000000},
+            {"resendNs", 400000000},
+            {"tellsWait", false}}},
+          {"guarantees",
+           {{"answerSlackNs", 20000000},
+            {"askEveryNs", 10000000000},
+            {"coldFrom", 0.35},
+            {"coldNs", 15000000000},
+            {"fallMultiple", 2.5},
+            {"stopSendingWithinNs", 2000000000},
+            {"tipAfterNs", 1500000000}}},
+          {"limits",
+           {{"cancel", true},
+            {"connectTimeoutNs", 500000000},
+            {"maxAttempts", 5},
+            {"maxRetryAfterNs", 2000000000},
+            {"peers", false},
+            {"retryAfter", true}}},
+          {"me", 0},
+          {"membershipMode", "pushed"},
+          {"objectiveMix", {{"worstClass", 0.3}}},
+          {"prices", {{"lateFail", 0.03}, {"waste", 0.02}, {"peer", 0.0}}},
+          {"replicasOfMe", 3},
+          {"roundNs", 5000000}};
+}
+
+// A program with one setup server and a journal service.
+struct World {
+  explicit World(const json& deploy = {}) {
+    json target = {{"uid", "s-1"},         {"endpoint", at(server_listener.port())},
+                   {"az", "west"},         {"pod_group", 0},
+                   {"state", "ready"},     {"capacity_hint", 4},
+                   {"model", "std-1core"}, {"boot_ms", 0}};
+    const json hosts = {{"rev", 1}, {"all", true}, {"targets", {target}}};
+    const json config = {{"name", "t1"},
+                         {"listen", at(port)},
+                         {"seed", "8c1f30d27a5be964"},
+                         {"limits", {{"cores", 1.0}, {"memory_mb", 192}, {"sockets", 1024}}},
+                         {"journal", at(journal_listener.port())},
+                         {"known", {{"pos", 3}, {"entries", {{{"pos", 3}, {"hosts", hosts}}}}}},
+                         {"settings", settings()}};
+    program.emplace(binary, config.dump(), deploy.is_null() ? "" : deploy.dump());
+    server = server_listener.accept();
+    server.send("NOTIFY sip:x@net SIP/2.0\r\nCall-ID: n\r\nP-Load: x0:30;x1:40\r\nContent-Length: 0\r\n\r\n");
+    journal = journal_listener.accept();
+    CHECK(journal.until("\r\n\r\n").find("Last-Event-ID: 3\r\n") != std::string::npos);
+    caller = Socket::connected(port);
+  }
+  sip::Message from_server() { return sip::read_stream(server.message()).message; }
+  void answer(const sip::Message& invite, const std::string& line, const std::string& body = {}) {
+    server.send("SIP/2.0 " + line + "\r\nCall-ID: " + std::string(invite.header("Call-ID")) +
+                "\r\nCSeq: " + std::string(invite.header("CSeq")) +
+                "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
+  }
+  Socket server_listener = Socket::bound(SOCK_STREAM);
+  Socket journal_listener = Socket::bound(SOCK_STREAM);
+  int port = free_port();
+  std::optional<Program> program;
+  Socket server;
+  Socket journal;
+  Socket caller;
+};
+
+std::string set_up(const std::string& id, int left) {
+  return json{{"type", "setup"},
+              {"id", id},
+              {"fields",
+               {{"class", "voice"},
+                {"left", std::to_string(left)},
+                {"key", "7f3a9c21e0b4d655"},
+                {"extras", "dest:0;width:1;via:-1"}}},
+              {"sdp", "offer"}}
+             .dump() +
+         "\n";
+}
+
+void the_platform_is_served_until_it_is_stopped() {
+  World world;
+  world.caller.send(R"({"type":"ping","id":"00000000000000ee","fields":{},"cause":0})"
+                    "\n");
+  CHECK_EQ(json::parse(world.caller.line())["cause"], 1);
+  world.caller.send(set_up("00000000000000aa", 5000));
+  const sip::Message invite = world.from_server();
+  CHECK_EQ(invite.method, "INVITE");
+  CHECK_EQ(invite.body, "offer");
+  world.answer(invite, "200 OK", "answer");
+  CHECK_EQ(world.from_server().method, "ACK");
+  CHECK_EQ(json::parse(world.caller.line())["sdp"], "answer");
+
+  // A deadline, with a server that does not answer.
+  const auto began = std::chrono::steady_clock::now();
+  world.caller.send(set_up("00000000000000bb", 300));
+  CHECK_EQ(world.from_server().method, "INVITE");
+  const json late = json::parse(world.caller.line());
+  const auto took = std::chrono::steady_clock::now() - began;
+  CHECK_EQ(late["type"], "release");
+  CHECK(took >= std::chrono::milliseconds(290) && took < std::chrono::milliseconds(2000));
+  CHECK_EQ(world.from_server().method, "CANCEL");
+
+  // Bad input closes its own connection only.
+  Socket other = Socket::connected(world.port);
+  other.send("what?\n");
+  CHECK(other.ends());
+
+  world.program->signal(SIGTERM);
+  world.caller.send(set_up("00000000000000cc", 3000));
+  const sip::Message last = world.from_server();
+  CHECK_EQ(last.method, "INVITE");
+  world.answer(last, "486 Busy");
+  CHECK_EQ(world.from_server().method, "ACK");
+  CHECK_EQ(json::parse(world.caller.line())["type"], "release");
+  CHECK_EQ(world.program->exit_status(), 0);
+  const std::string log = world.program->log();
+  CHECK(log.find("broker.served 1\n") != std::string::npos);
+  CHECK(log.find("platform.malformed 1\n") != std::string::npos);
+}
+
+std::string sip_request(const std::string& method, const std::string& transport, int port, int cseq,
+                        const std::string& branch, const std::string& to_tag, const std::string& body) {
+  return method + " sip:4711@net SIP/2.0\r\nVia: SIP/2.0/" + transport + " " + at(port) + ";branch=z9hG4bK" +
+         branch + "\r\nFrom: <sip:hiker@trail.example>;tag=f\r\nTo: <sip:4711@net>" +
+         (to_tag.empty() ? "" : ";tag=" + to_tag) + "\r\nCall-ID: call-" + transport +
+         "\r\nCSeq: " + std::to_string(cseq) + " " + method + "\r\nContact: <sip:hiker@" + at(port) +
+         ">\r\nMax-Forwards: 70\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+void sip_is_served_over_udp_and_tcp_and_traced() {
+  Socket collector_listener = Socket::bound(SOCK_STREAM);
+  const int sip_port = free_port();
+  World world({{"sip", {{"udp", at(sip_port)}, {"tcp", at(sip_port)}}},
+               {"otlp", {{"collector", at(collector_listener.port())}, {"every_ms", 50}}}});
+  for (const std::string transport : {"UDP", "TCP"}) {
+    const bool udp = transport == "UDP";
+    Socket peer = udp ? Socket::bound(SOCK_DGRAM) : Socket::connected(sip_port);
+    const auto send = [&](const std::string& text) { udp ? peer.send_to(sip_port, text) : peer.send(text); };
+    const auto receive = [&] {
+      return udp ? sip::read_datagram(peer.datagram()).message : sip::read_stream(peer.message()).message;
+    };
+    send(sip_request("INVITE", transport, peer.port(), 1, "1", {}, "offer"));
+    CHECK_EQ(receive().status, 100);
+    const sip::Message invite = world.from_server();
+    CHECK_EQ(invite.method, "INVITE");
+    world.answer(invite, "200 OK", "answer");
+    CHECK_EQ(world.from_server().method, "ACK");
+    const sip::Message ok = receive();
+    CHECK_EQ(ok.status, 200);
+    CHECK_EQ(ok.body, "answer");
+    const std::string tag(sip::parameter(ok.header("To"), "tag"));
+    send(sip_request("ACK", transport, peer.port(), 1, "2", tag, {}));
+    send(sip_request("BYE", transport, peer.port(), 2, "3", tag, {}));
+    CHECK_EQ(receive().status, 200);
+    CHECK_EQ(world.from_server().method, "BYE");
+  }
+
+  // Both calls and the counters come to the collector.
+  Socket collector = collector_listener.accept();
+  std::size_t requests = 0;
+  std::size_t attempts = 0;
+  bool counted = false;
+  while (requests < 2 || !counted) {
+    const std::string post = collector.message();
+    collector.send("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: 2\r\n\r\n{}");
+    const json body = json::parse(post.substr(post.find("\r\n\r\n") + 4));
+    if (post.starts_with("POST /v1/metrics ")) {
+      for (const json& metric : body["resourceMetrics"][0]["scopeMetrics"][0]["metrics"]) {
+        if (metric["name"] != "broker.served" || metric["sum"]["dataPoints"][0]["asInt"] != "2") continue;
+        CHECK_EQ(metric["sum"]["aggregationTemporality"], 2);
+        counted = true;
+      }
+      continue;
+    }
+    CHECK(post.starts_with("POST /v1/traces "));
+    for (const json& span : body["resourceSpans"][0]["scopeSpans"][0]["spans"]) {
+      CHECK_EQ(span["traceId"].get<std::string>().size(), 32U);
+      (span.contains("parentSpanId") ? attempts : requests) += 1;
+    }
+  }
+  CHECK_EQ(requests, 2U);
+  CHECK_EQ(attempts, 2U);
+}
+
+void a_bad_configuration_is_one_plain_line() {
+  for (const std::string config :
+       {"", "[]", R"({"listen":"127.0.0.1:1"})", R"({"listen":5,"seed":"1","settings":{}})",
+        R"({"listen":"127.0.0.1:1","seed":"1","settings":{"az":"x"}})"}) {
+    Program program(binary, config);
+    CHECK_EQ(program.exit_status(), 1);
+    const std::string log = program.log();
+    CHECK(log.starts_with("graniterun: ") && log.find('\n') == log.size() - 1);
+  }
+}
+
+}  // namespace
+
+int main(int, char** argv) {
+  binary = argv[1];
+  a_bad_configuration_is_one_plain_line();
+  the_platform_is_served_until_it_is_stopped();
+  sip_is_served_over_udp_and_tcp_and_traced();
+}
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -21,7 +21,7 @@
 // A lab with one caller and both servers up.
 struct Ready : Lab {
   explicit Ready(int servers = 2) : Lab(config_for_tests(servers)) {
-    CHECK_EQ(connects.size(), static_cast<std::size_t>(servers) + 0U);
+    CHECK_EQ(connects.size(), static_cast<std::size_t>(servers));
     s0 = connects[0].conn;
     if (servers > 1) s1 = connects[1].conn;
     bring_up();
--- /dev/null
+++ b/tests/stand_in.h
@@ -0,0 +1,183 @@
+// Stand-ins for the other sides of the program, over loopback: the real program is started and spoken to.
+// Every wait ends with what is waited for, or with the test.
+#pragma once
+
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <netinet/in.h>
+#include <poll.h>
+#include <signal.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <chrono>
+#include <fstream>
+#include <string>
+
+#include "check.h"
+
+namespace graniterun::test {
+
+constexpr int kPatienceMs = 10'000;
+
+inline sockaddr_in loopback(int port) {
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(static_cast<std::uint16_t>(port));
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  return address;
+}
+
+// A socket that belongs to the test, and what has been read from it.
+class Socket {
+ public:
+  explicit Socket(int fd = -1) : fd_(fd) {}
+  Socket(Socket&& other) noexcept : fd_(std::exchange(other.fd_, -1)), buffer_(std::move(other.buffer_)) {}
+  Socket& operator=(Socket&& other) noexcept {
+    std::swap(fd_, other.fd_);
+    std::swap(buffer_, other.buffer_);
+    return *this;
+  }
+  ~Socket() {
+    if (fd_ >= 0) ::close(fd_);
+  }
+  static Socket bound(int type) {  // to a port that nobody has
+    Socket s(::socket(AF_INET, type | SOCK_CLOEXEC, 0));
+    sockaddr_in address = loopback(0);
+    CHECK(::bind(s.fd_, reinterpret_cast<sockaddr*>(&address), sizeof address) == 0);
+    if (type == SOCK_STREAM) CHECK(::listen(s.fd_, 16) == 0);
+    return s;
+  }
+  // Tried until the other side listens.
+  static Socket connected(int port) {
+    const auto end = std::chrono::steady_clock::now() + std::chrono::milliseconds(kPatienceMs);
+    while (true) {
+      Socket s(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
+      const sockaddr_in address = loopback(port);
+      if (::connect(s.fd_, reinterpret_cast<const sockaddr*>(&address), sizeof address) == 0) return s;
+      CHECK(std::chrono::steady_clock::now() < end);
+      ::poll(nullptr, 0, 5);
+    }
+  }
+  int port() const {
+    sockaddr_in address{};
+    socklen_t size = sizeof address;
+    ::getsockname(fd_, reinterpret_cast<sockaddr*>(&address), &size);
+    return ntohs(address.sin_port);
+  }
+  Socket accept() const {
+    wait_readable();
+    return Socket(::accept4(fd_, nullptr, nullptr, SOCK_CLOEXEC));
+  }
+  void send(const std::string& text) const {
+    CHECK_EQ(::send(fd_, text.data(), text.size(), MSG_NOSIGNAL), static_cast<ssize_t>(text.size()));
+  }
+  void send_to(int port, const std::string& text) const {
+    const sockaddr_in address = loopback(port);
+    CHECK(::sendto(fd_, text.data(), text.size(), 0, reinterpret_cast<const sockaddr*>(&address),
+                   sizeof address) > 0);
+  }
+  // Reads up to and with `mark`, and `more` bytes after it.
+  std::string until(const std::string& mark, std::size_t more = 0) {
+    while (true) {
+      const std::size_t at = buffer_.find(mark);
+      if (at != std::string::npos && buffer_.size() >= at + mark.size() + more) {
+        std::string text = buffer_.substr(0, at + mark.size() + more);
+        buffer_.erase(0, text.size());
+        return text;
+      }
+      CHECK(read_some());
+    }
+  }
+  std::string line() { return until("\n"); }
+  std::string datagram() const {
+    wait_readable();
+    char buffer[65536];
+    const ssize_t got = ::recv(fd_, buffer, sizeof buffer, 0);
+    CHECK(got > 0);
+    return std::string(buffer, static_cast<std::size_t>(got));
+  }
+  // A head of SIP or HTTP and the body that its Content-Length names.
+  std::string message() {
+    std::string head = until("\r\n\r\n");
+    const std::size_t at = head.find("Content-Length: ");
+    const int length = at == std::string::npos ? 0 : std::atoi(head.c_str() + at + 16);
+    while (buffer_.size() < static_cast<std::size_t>(length)) CHECK(read_some());
+    head += buffer_.substr(0, static_cast<std::size_t>(length));
+    buffer_.erase(0, static_cast<std::size_t>(length));
+    return head;
+  }
+  bool ends() {  // the other side has closed, and sent no more
+    while (read_some()) {
+    }
+    return buffer_.empty();
+  }
+
+ private:
+  void wait_readable() const {
+    pollfd p{fd_, POLLIN, 0};
+    CHECK_EQ(::poll(&p, 1, kPatienceMs), 1);
+  }
+  bool read_some() {
+    wait_readable();
+    char buffer[65536];
+    const ssize_t got = ::recv(fd_, buffer, sizeof buffer, 0);
+    if (got > 0) buffer_.append(buffer, static_cast<std::size_t>(got));
+    return got > 0;
+  }
+  int fd_;
+  std::string buffer_;
+};
+
+// The program, started with a configuration of the test's own. Its output is kept.
+class Program {
+ public:
+  Program(const std::string& binary, const std::string& config, const std::string& deploy = {}) {
+    const std::string dir = std::string(::getenv("TMPDIR") ? ::getenv("TMPDIR") : "/tmp");
+    base_ = dir + "/graniterun-test-" + std::to_string(::getpid()) + "-" + std::to_string(++started());
+    std::ofstream(base_ + ".json") << config;
+    if (!deploy.empty()) std::ofstream(base_ + ".deploy") << deploy;
+    pid_ = ::fork();
+    CHECK(pid_ >= 0);
+    if (pid_ != 0) return;
+    const int log = ::open((base_ + ".log").c_str(), O_CREAT | O_WRONLY | O_TRUNC, 0600);
+    ::dup2(log, 2);
+    ::setenv("RELAY_CONFIG", (base_ + ".json").c_str(), 1);
+    ::unsetenv("RELAY_LISTEN");
+    ::unsetenv("RELAY_NAME");
+    if (deploy.empty()) {
+      ::execl(binary.c_str(), binary.c_str(), nullptr);
+    } else {
+      ::execl(binary.c_str(), binary.c_str(), "--deploy", (base_ + ".deploy").c_str(), nullptr);
+    }
+    ::_exit(127);
+  }
+  ~Program() {
+    if (pid_ > 0) {
+      ::kill(pid_, SIGKILL);
+      ::waitpid(pid_, nullptr, 0);
+    }
+    for (const char* end : {".json", ".deploy", ".log"}) ::unlink((base_ + end).c_str());
+  }
+  void signal(int number) const { ::kill(pid_, number); }
+  int exit_status() {
+    int status = 0;
+    CHECK_EQ(::waitpid(std::exchange(pid_, -1), &status, 0) > 0, true);
+    return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+  }
+  std::string log() const {
+    std::ifstream file(base_ + ".log");
+    return {std::istreambuf_iterator<char>(file), {}};
+  }
+
+ private:
+  static int& started() {
+    static int count = 0;
+    return count;
+  }
+  std::string base_;
+  pid_t pid_ = -1;
+};
+
+}  // namespace graniterun::test
