--- a/src/core/broker.cpp
+++ b/src/core/broker.cpp
@@ -21,11 +21,20 @@
 
 }  // namespace
 
-Broker::Broker(Settings settings, std::uint64_t seed, Contracts contracts, Counters& counters)
+Broker::Broker(const Settings& settings, std::uint64_t seed, Contracts contracts, Counters& counters)
+    : Broker(
+          settings,
+          [controller = std::make_shared<Controller>(settings, seed)](
+              Time now, const graniterun::Event& event, std::vector<Action>& actions) {
+            controller->handle(now, event, actions);
+          },
+          std::move(contracts), counters) {}
+
+Broker::Broker(const Settings& settings, Decide decide, Contracts contracts, Counters& counters)
     : settings_(settings),
       contracts_(std::move(contracts)),
       counters_(counters),
-      controller_(std::move(settings), seed) {}
+      decide_(std::move(decide)) {}
 
 void Broker::step(Time now, const Event& event, Effects& effects) {
   now_ = std::max(now, now_);
@@ -221,7 +230,7 @@
     const graniterun::Event event = std::move(for_module_.front());
     for_module_.pop_front();
     actions.clear();
-    controller_.handle(now_, event, actions);
+    decide_(now_, event, actions);
     for (const Action& action : actions) std::visit([this](const auto& a) { act(a); }, action);
   }
   in_module_ = false;
--- a/src/core/broker.h
+++ b/src/core/broker.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include <deque>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -154,7 +155,11 @@
 
 class Broker {
  public:
-  Broker(Settings settings, std::uint64_t seed, Contracts contracts, Counters& counters);
+  // What decides: it is handed each event with its time and appends its actions.
+  using Decide = std::function<void(Time, const graniterun::Event&, std::vector<Action>&)>;
+
+  Broker(const Settings& settings, std::uint64_t seed, Contracts contracts, Counters& counters);
+  Broker(const Settings& settings, Decide decide, Contracts contracts, Counters& counters);
 
   void step(Time now, const Event& event, Effects& effects);
 
@@ -229,7 +234,7 @@
   Settings settings_;
   Contracts contracts_;
   Counters& counters_;
-  Controller controller_;
+  Decide decide_;
   Time now_{};
   Effects* effects_ = nullptr;
   std::unordered_map<CallId, Call> calls_;
--- a/src/net/runtime.cpp
+++ b/src/net/runtime.cpp
@@ -185,7 +185,10 @@
   void step(const Event& event) {
     Effects effects;
     reducer_(clock_now(), event, effects);
-    for (Effect& effect : effects) std::visit([this](auto& e) { carry_out(e); }, effect);
+    for (Effect& effect : effects) {
+      if (status_) break;
+      std::visit([this](auto& e) { carry_out(e); }, effect);
+    }
     // One write for all that a step sends on a connection.
     for (const ConnId id : std::exchange(dirty_, {})) flush(id);
     for (const ConnId id : std::exchange(broken_, {})) lose(id, true);
--- /dev/null
+++ b/tests/broker_test.cpp
@@ -0,0 +1,227 @@
+// The broker keeps its rules whatever the module says: here the module is a mischievous one.
+#include "core/broker.h"
+
+#include <fstream>
+#include <random>
+
+#include "check.h"
+#include "lab.h"
+
+using namespace graniterun;
+using namespace graniterun::test;
+
+namespace {
+
+constexpr Time kStart{1'000'000s};
+
+core::RequestCame request(std::uint64_t number, Time deadline, const std::string& team = {}) {
+  core::RequestCame e;
+  e.request.call = core::call_id(core::Front::platform, number);
+  e.request.label = std::to_string(number);
+  e.request.team = team;
+  e.request.deadline = deadline;
+  return e;
+}
+
+core::ServersChanged servers(std::vector<ServerEntry> entries) {
+  return {{ListKind::changes, std::move(entries)}};
+}
+
+ServerEntry server(std::uint32_t id, ServerState state, std::optional<Time> since = {}) {
+  return {ServerId{id}, Zone{0}, Pool{id}, state, 1.0, since};
+}
+
+// A module that answers every event with actions drawn at random: for calls known and unknown, to servers
+// that drain, twice at once, too early, or not at all.
+void a_module_gone_wild_breaks_no_rule() {
+  for (std::uint32_t seed = 1; seed <= 100; ++seed) {
+    std::mt19937 random(seed);
+    std::uint64_t last = 0;
+    Time now = kStart;
+    const auto wild = [&](Time, const Event&, std::vector<Action>& actions) {
+      for (std::uint32_t i = 0; i < random() % 3; ++i) {
+        const CallId call =
+            core::call_id(core::Front::platform, last - std::min<std::uint64_t>(last, random() % 6));
+        switch (random() % 8) {
+          case 0:
+            actions.push_back(Refuse{call, 1s});
+            break;
+          case 1:
+            actions.push_back(Fail{call});
+            break;
+          case 2:
+            actions.push_back(CancelAttempt{call, static_cast<int>(random() % 3)});
+            break;
+          case 3:
+            actions.push_back(SetTimer{std::chrono::milliseconds(random() % 300), TimerId{random() % 50}});
+            break;
+          default:
+            actions.push_back(SendSetUp{call, ServerId{static_cast<std::uint32_t>(random() % 5)}, now + 5s});
+        }
+      }
+    };
+    Counters counters;
+    const Settings settings = config_for_tests().settings;
+    core::Broker broker(settings, wild, core::Contracts{}, counters);
+    struct Call {
+      Time deadline{};
+      int finals = 0;
+      std::optional<int> out{};
+      std::optional<Time> ended{};
+      int attempts = 0;
+      bool stands = false;
+      bool left = false;
+    };
+    std::map<CallId, Call> calls;
+    std::map<ServerId, ServerState> states;
+    std::multimap<Time, std::uint64_t> alarms;
+    std::deque<Time> cold_sends;
+    std::vector<std::pair<CallId, int>> abandoned;
+    const auto tell = [&](const core::Event& event) {
+      core::Effects effects;
+      broker.step(now, event, effects);
+      for (const core::Effect& effect : effects) {
+        if (const auto* e = std::get_if<core::StartAttempt>(&effect)) {
+          Call& c = calls.at(e->request->call);
+          CHECK(!c.out && c.finals == 0 && !c.left && now < c.deadline);
+          CHECK(++c.attempts <= settings.max_attempts);
+          CHECK(!c.ended || now - *c.ended >= settings.release_guard);
+          CHECK(states[e->server] == ServerState::in_service);
+          c.out = e->attempt;
+          if (e->server == ServerId{3}) {
+            cold_sends.push_back(now);
+            while (now - cold_sends.front() > settings.fall_window) cold_sends.pop_front();
+            CHECK(cold_sends.size() <= 20U);
+          }
+        } else if (const auto* a = std::get_if<core::AbandonAttempt>(&effect)) {
+          CHECK(calls.at(a->call).out == a->attempt);
+          abandoned.emplace_back(a->call, a->attempt);
+        } else if (const auto* s = std::get_if<core::Serve>(&effect)) {
+          CHECK_EQ(++calls.at(s->call).finals, 1);
+        } else if (const auto* t = std::get_if<core::TurnDown>(&effect)) {
+          CHECK_EQ(++calls.at(t->call).finals, 1);
+          CHECK(!calls.at(t->call).left && now <= calls.at(t->call).deadline);
+        } else if (const auto* al = std::get_if<core::SetAlarm>(&effect)) {
+          alarms.emplace(al->at, al->timer);
+        }
+      }
+    };
+    const auto ended = [&](CallId id, Outcome outcome, bool crossed = false) {
+      Call& c = calls.at(id);
+      const int attempt = *std::exchange(c.out, std::nullopt);
+      if (outcome == Outcome::reset || outcome == Outcome::cancelled) c.ended = now;
+      core::AttemptOver over;
+      over.call = id;
+      over.attempt = attempt;
+      over.outcome = outcome;
+      over.crossed = crossed;
+      tell(over);
+      if (crossed) CHECK(c.finals == 1 || c.left);
+    };
+    for (std::uint32_t id = 0; id < 3; ++id) {
+      states[ServerId{id}] = ServerState::in_service;
+      tell(servers({server(id, ServerState::in_service)}));
+    }
+    states[ServerId{3}] = ServerState::in_service;
+    tell(servers({server(3, ServerState::in_service, kStart)}));  // cold all along
+    for (int step = 0; step < 600; ++step) {
+      const Time until = now + std::chrono::milliseconds(random() % 40);
+      while (!alarms.empty() && alarms.begin()->first <= until) {
+        now = std::max(now, alarms.begin()->first);
+        const std::uint64_t timer = alarms.begin()->second;
+        alarms.erase(alarms.begin());
+        tell(core::TimerRang{timer});
+      }
+      now = until;
+      for (const auto& [id, attempt] : std::exchange(abandoned, {})) {
+        if (calls.at(id).out == attempt) ended(id, Outcome::cancelled, random() % 4 == 0);
+      }
+      const std::uint32_t pick = random() % 10;
+      if (pick < 4) {
+        const Time deadline = now + std::chrono::milliseconds(1 + random() % 2000);
+        calls[core::call_id(core::Front::platform, ++last)].deadline = deadline;
+        tell(request(last, deadline));
+      } else if (pick == 4) {
+        const ServerId id{static_cast<std::uint32_t>(random() % 3)};
+        states[id] = random() % 2 == 0 ? ServerState::in_service : ServerState::terminating;
+        tell(servers({server(static_cast<std::uint32_t>(id), states[id])}));
+      } else if (!calls.empty()) {
+        auto it = calls.begin();
+        std::advance(it, random() % calls.size());
+        Call& c = it->second;
+        if (pick == 5 && c.finals == 0 && !c.left) {
+          c.left = true;
+          tell(core::CallerGaveUp{it->first});
+        } else if (c.out && !c.stands && pick < 8) {
+          constexpr Outcome kOutcomes[] = {Outcome::full, Outcome::reset, Outcome::busy_or_fault,
+                                           Outcome::no_connection};
+          ended(it->first, kOutcomes[random() % 4]);
+        } else if (c.out && !c.stands && c.finals == 0 && !c.left) {
+          c.stands = true;
+          tell(core::AttemptStood{it->first, *c.out, "a"});
+          c.stands = c.finals == 1;
+          if (!c.stands) c.out.reset();
+        } else if (c.out && c.stands) {
+          ended(it->first, Outcome::ok);
+        }
+      }
+    }
+    while (!alarms.empty()) {
+      now = std::max(now, alarms.begin()->first);
+      const std::uint64_t timer = alarms.begin()->second;
+      alarms.erase(alarms.begin());
+      if (now < kStart + 60s) tell(core::TimerRang{timer});
+    }
+    for (const auto& [id, c] : calls) CHECK_EQ(c.finals, c.left ? 0 : 1);
+    CHECK_EQ(broker.unanswered(), 0U);
+  }
+}
+
+void budgets_are_kept_and_fill_again() {
+  core::Contract contract;
+  contract.team = "guides";
+  contract.per_second = 2.0;
+  contract.burst = 3.0;
+  contract.deadline = 1s;
+  Counters counters;
+  core::Broker broker(
+      config_for_tests().settings, [](Time, const Event&, std::vector<Action>&) {},
+      core::Contracts({contract}), counters);
+  std::uint64_t last = 0;
+  const auto refused = [&](Time now, const std::string& team) {
+    core::Effects effects;
+    broker.step(now, request(++last, now + 5s, team), effects);
+    for (const core::Effect& effect : effects) {
+      if (const auto* t = std::get_if<core::TurnDown>(&effect)) {
+        CHECK(t->refused && t->why == core::Why::over_budget);
+        return t->wait;
+      }
+      if (const auto* a = std::get_if<core::SetAlarm>(&effect); a != nullptr && team == "guides")
+        CHECK(a->at == now + 1s);  // the contract's deadline
+    }
+    return Duration{};
+  };
+  for (int i = 0; i < 3; ++i) CHECK(refused(kStart, "guides") == Duration{});
+  const Duration wait = refused(kStart, "guides");
+  CHECK(wait == 500ms);
+  CHECK(refused(kStart, "others") == Duration{});
+  CHECK(refused(kStart + wait - 1ms, "guides") > Duration{});
+  CHECK(refused(kStart + wait, "guides") == Duration{});
+}
+
+void the_example_deploy_file_is_read() {
+  std::ifstream file(SOURCE_DIR "/deploy/broker.json");
+  const std::string text{std::istreambuf_iterator<char>(file), {}};
+  const DeployConfig c = read_deploy_config(text, {"voice"});
+  CHECK_EQ(*c.sip_udp, "127.0.0.1:5060");
+  CHECK_EQ(c.contracts.size(), 3U);
+  CHECK(c.collector.has_value());
+}
+
+}  // namespace
+
+int main() {
+  a_module_gone_wild_breaks_no_rule();
+  budgets_are_kept_and_fill_again();
+  the_example_deploy_file_is_read();
+}
--- a/tests/integration_test.cpp
+++ b/tests/integration_test.cpp
@@ -142,6 +142,7 @@
   other.send("what?\n");
   CHECK(other.ends());
 
+  world.program->signal(SIGUSR1);
   world.program->signal(SIGTERM);
   world.caller.send(set_up("00000000000000cc", 3000));
   const sip::Message last = world.from_server();
@@ -151,7 +152,8 @@
   CHECK_EQ(json::parse(world.caller.line())["type"], "release");
   CHECK_EQ(world.program->exit_status(), 0);
   const std::string log = world.program->log();
-  CHECK(log.find("broker.served 1\n") != std::string::npos);
+  const std::size_t asked = log.find("broker.served 1\n");  // on request, and at the end
+  CHECK(asked != std::string::npos && log.find("broker.served 1\n", asked + 1) != std::string::npos);
   CHECK(log.find("platform.malformed 1\n") != std::string::npos);
 }
 
@@ -228,6 +230,12 @@
     const std::string log = program.log();
     CHECK(log.starts_with("graniterun: ") && log.find('\n') == log.size() - 1);
   }
+  const Socket taken = Socket::bound(SOCK_STREAM);
+  json config = {{"listen", at(taken.port())}, {"seed", "1"}, {"settings", settings()}};
+  Program program(binary, config.dump());
+  CHECK_EQ(program.exit_status(), 1);
+  CHECK(program.log().starts_with("error: cannot listen on ") &&
+        program.log().find('\n') == program.log().size() - 1);
 }
 
 }  // namespace
--- /dev/null
+++ b/tests/otlp_test.cpp
@@ -0,0 +1,90 @@
+// The exporter with a collector that fails: bounded, and no call waits for it.
+#include "lab.h"
+#include "otlp/exporter.h"
+
+using namespace graniterun;
+using namespace graniterun::test;
+
+namespace {
+
+struct ExporterLab {
+  ExporterLab() : exporter({"127.0.0.1:4318", "collector", "t0", 1s, 9}, counters) {
+    exporter.start(now, out);
+  }
+  void request() {
+    core::RequestAnswered e;
+    e.request = std::make_shared<const core::Request>();
+    e.came = now - 100ms;
+    e.why = core::Why::overdue;
+    e.attempts = {{ServerId{0}, e.came, now, Outcome::timed_out}};
+    exporter.note(now, e, [](ServerId) { return std::string("s0"); });
+  }
+  void export_now() {
+    now += 1s;
+    out = {};
+    exporter.on(now, net::TimerFired{{Concern::collector, 0}}, counters, out);
+  }
+  template <class Kind>
+  std::optional<Kind> first() const {
+    for (const net::Effect& effect : out.net) {
+      if (const Kind* found = std::get_if<Kind>(&effect)) return *found;
+    }
+    return std::nullopt;
+  }
+  std::string sent() const { return first<net::Send>() ? first<net::Send>()->bytes : std::string(); }
+  ConnId connect() {
+    const ConnId conn = first<net::Connect>()->conn;
+    out = {};
+    exporter.on(now, net::Connected{conn}, out);
+    return conn;
+  }
+  void answer(ConnId conn, const std::string& status) {
+    out = {};
+    exporter.on(now, net::Received{conn, "HTTP/1.1 " + status + "\r\nContent-Length: 0\r\n\r\n"}, out);
+  }
+  Time now{1'000'000s};
+  Counters counters;
+  Outbox out;
+  otlp::Exporter exporter;
+};
+
+void what_can_be_tried_again_is() {
+  ExporterLab lab;
+  lab.request();
+  lab.export_now();
+  ConnId conn = lab.connect();
+  const std::string post = lab.sent();
+  CHECK(post.starts_with("POST /v1/traces HTTP/1.1\r\n"));
+  CHECK(post.find("\"parentSpanId\"") != std::string::npos);
+  lab.answer(conn, "503 Busy");
+  CHECK_EQ(lab.counters.of("otlp.posts_dropped"), 0U);
+  lab.export_now();
+  conn = lab.connect();
+  CHECK_EQ(lab.sent(), post);
+  lab.answer(conn, "200 OK");
+  CHECK_EQ(lab.counters.of("otlp.spans"), 1U);
+  CHECK(lab.sent().starts_with("POST /v1/metrics "));
+  lab.answer(conn, "400 Bad Request");  // not to be tried again
+  CHECK_EQ(lab.counters.of("otlp.posts_dropped"), 1U);
+}
+
+void a_silent_collector_costs_bounded_memory() {
+  ExporterLab lab;
+  for (int i = 0; i < 5000; ++i) lab.request();
+  CHECK_EQ(lab.counters.of("otlp.spans_dropped"), 5000U - 2048U);
+  lab.export_now();
+  const ConnId conn = lab.connect();
+  CHECK(!lab.sent().empty());
+  for (int i = 0; i < 5; ++i) lab.export_now();
+  CHECK(!lab.first<net::Close>());
+  lab.export_now();  // no answer in time
+  CHECK(lab.first<net::Close>() && lab.first<net::Close>()->conn == conn);
+  CHECK(lab.first<net::Connect>().has_value());
+}
+
+}  // namespace
+
+int main() {
+  what_can_be_tried_again_is();
+  a_silent_collector_costs_bounded_memory();
+}
