--- a/tests/broker_test.cpp
+++ b/tests/broker_test.cpp
@@ -1,6 +1,7 @@
 // The broker keeps its rules whatever the module says: here the module is a mischievous one.
 #include "core/broker.h"
 
+#include <cmath>
 #include <fstream>
 #include <random>
 
@@ -75,7 +76,8 @@
     std::map<CallId, Call> calls;
     std::map<ServerId, ServerState> states;
     std::multimap<Time, std::uint64_t> alarms;
-    std::deque<Time> cold_sends;
+    std::map<ServerId, std::deque<Time>> sent_to;  // within the last window
+    double busiest = 0.0;                          // the most at a warm server
     std::vector<std::pair<CallId, int>> abandoned;
     const auto tell = [&](const core::Event& event) {
       core::Effects effects;
@@ -88,10 +90,15 @@
           CHECK(!c.ended || now - *c.ended >= settings.release_guard);
           CHECK(states[e->server] == ServerState::in_service);
           c.out = e->attempt;
+          std::deque<Time>& sends = sent_to[e->server];
+          sends.push_back(now);
+          while (now - sends.front() > settings.fall_window) sends.pop_front();
+          const auto count = static_cast<double>(sends.size());
           if (e->server == ServerId{3}) {
-            cold_sends.push_back(now);
-            while (now - cold_sends.front() > settings.fall_window) cold_sends.pop_front();
-            CHECK(cold_sends.size() <= 20U);
+            const double part = settings.fall_multiple * settings.cold_share * busiest;
+            CHECK(count <= std::ceil(std::max(4.0, part)));
+          } else {
+            busiest = std::max(busiest, count);
           }
         } else if (const auto* a = std::get_if<core::AbandonAttempt>(&effect)) {
           CHECK(calls.at(a->call).out == a->attempt);
