--- a/src/back/setup_servers.cpp
+++ b/src/back/setup_servers.cpp
@@ -164,6 +164,8 @@
   Server* server = find(it->second.server);
   if (server == nullptr || server->host.state == ServerState::terminated)
     return let_go(e.conn.number, false, out);
+  if (server->unreachable_since || server->lost_at)
+    out.log(net::Level::info, "setup server " + server->host.uid + " can be reached again");
   server->tried = true;
   server->connecting.reset();
   server->current = e.conn.number;
@@ -191,6 +193,8 @@
   // elsewhere.
   if (!e.refused && server->current && now - server->heard > kSuspicious) {
     counters_.add("servers.connections_dead");
+    out.log(net::Level::info, "setup server " + server->host.uid +
+                                  " is silent and takes no connection: its set-ups are given up");
     let_go(*server->current, false, out);
   }
   for (auto leg = legs_.begin(); leg != legs_.end();) {
