--- a/src/back/setup_servers.cpp
+++ b/src/back/setup_servers.cpp
@@ -15,6 +15,8 @@
 // A server with calls that says nothing for so long is tried on a new connection: a machine that vanished
 // leaves the old one open and silent.
 constexpr Duration kSuspicious = 1200ms;
+// It is tried sooner when a set-up has been unanswered for so long and nothing else has come either.
+constexpr Duration kSuspiciousUnanswered = 600ms;
 // After so long without a byte and without a connection its calls are taken to be over (8 s are allowed).
 constexpr Duration kVanished = 5s;
 // A process that died refuses at once; a short restart is let pass.
@@ -191,7 +193,7 @@
   // The open connection says nothing and no new one comes up: the machine has vanished. Set-ups on the old
   // one once hung there until their callers gave up, and new ones followed them; given up, they can go
   // elsewhere.
-  if (!e.refused && server->current && now - server->heard > kSuspicious) {
+  if (!e.refused && server->current && now - server->heard > kSuspiciousUnanswered) {
     counters_.add("servers.connections_dead");
     out.log(net::Level::info, "setup server " + server->host.uid +
                                   " is silent and takes no connection: its set-ups are given up");
@@ -259,7 +261,11 @@
   if (server.host.state == ServerState::terminated) return;
   const bool has_calls =
       std::any_of(legs_.begin(), legs_.end(), [&](const auto& l) { return l.second.server == server.id; });
-  const bool silent = has_calls && now - server.heard > kSuspicious;
+  const bool waited_for = std::any_of(legs_.begin(), legs_.end(), [&](const auto& l) {
+    return l.second.server == server.id && l.second.state == LegState::sent &&
+           now - l.second.since > kSuspiciousUnanswered;
+  });
+  const bool silent = has_calls && now - server.heard > (waited_for ? kSuspiciousUnanswered : kSuspicious);
   const bool wanted = server.host.state == ServerState::in_service || has_calls;
   if (wanted && !server.connecting && now >= server.next_connect && (!server.current || silent)) {
     connect(now, server, out);
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -197,7 +197,7 @@
   Ready lab;
   lab.receive(kCaller, set_up(kId, 4000));
   lab.invite(lab.s0);
-  for (int i = 0; i < 25; ++i) {
+  for (int i = 0; i < 15; ++i) {
     lab.pass(100ms);
     for (const net::Connect& c : std::exchange(lab.connects, {})) {
       if (c.address == "127.0.0.1:9000") lab.tell(net::ConnectFailed{c.conn, false});
