Give an open call's answer to its own caller only, whoever else names its id

Excluded: sets of figures out of range (all refused or failed), the 5,642 repeats on one's own connection (same description, one answer). To blame: set_up took any set-up under an open id for one sent again, and refuse_malformed said nothing under an open id. Now only the same to the letter is the same call; what else names an open id is refused, and ends only what its own connection has open under it. A set-up that waits is given up on its own connection only.

--- a/src/front/platform.cpp
+++ b/src/front/platform.cpp
@@ -27,6 +27,13 @@
   return m;
 }
 
+// What tells a set-up from another under the same id. The time left may differ between two of the same call.
+std::string identity_of(const jsonl::Message& m) {
+  std::string text(m.field("class"));
+  text.append("\n").append(m.field("key")).append("\n").append(m.field("extras")).append("\n");
+  return text.append(m.description.value_or(""));
+}
+
 template <class Value>
 std::optional<Value> number(std::string_view text) {
   Value value{};
@@ -68,7 +75,11 @@
                                 Outbox& out) {
   counters_.add("platform.malformed");
   out.log(net::Level::warning, "a caller's line is refused: " + trouble);
-  if (id.empty() || by_id_.contains(id)) return;  // an open call's answer is not to be spoilt
+  if (id.empty()) return;
+  // A refusal ends what the connection itself has open under the id, or a second answer would follow it.
+  // Calls of others under that id are not touched.
+  if (const auto it = by_id_.find(id); it != by_id_.end() && calls_.at(it->second).conn == conn)
+    end_by_caller(it->second, kInvalid, out);
   jsonl::Message m = message("release", id, kInvalid);
   m.fields.emplace("reason", trouble);
   out.send(conn, m.text());
@@ -82,16 +93,13 @@
   } else if (m.type == "release") {
     counters_.add("platform.releases_in");
     const auto it = by_id_.find(m.id);
-    const bool stood = it == by_id_.end() || calls_.at(it->second).stands;
-    if (stood) out.send(conn, message("released", m.id).text());
+    const bool open = it != by_id_.end() && !calls_.at(it->second).stands;
+    if (!open) out.send(conn, message("released", m.id).text());
     if (it == by_id_.end()) return;
-    const CallId call = it->second;
-    forget(call);
-    if (stood) {
-      out.tell(core::CallerReleased{call, m.cause.value_or(kNormal)});
-    } else {
-      out.tell(core::CallerGaveUp{call});
-    }
+    // What stands may be released on any connection; a set-up is given up on its own.
+    if (open && calls_.at(it->second).conn != conn)
+      return refuse_malformed(conn, m.id, "the id is that of another open call", out);
+    end_by_caller(it->second, m.cause.value_or(kNormal), out);
   } else if (m.type == "released") {
     counters_.add("platform.released_in");
     if (const auto it = connections_.find(conn); it != connections_.end()) it->second.told.erase(m.id);
@@ -103,9 +111,15 @@
 void Platform::set_up(Time now, net::ConnId conn, const jsonl::Message& m, Outbox& out) {
   counters_.add("platform.setups");
   if (const auto it = by_id_.find(m.id); it != by_id_.end()) {
-    // Sent once more because it crossed a close: the same call, now to be answered here.
     Call& call = calls_.at(it->second);
-    if (!call.stands && call.conn != conn) {
+    const bool own = call.conn == conn;
+    // Any connection may name an open id. Taken for the same call sent once more, a set-up of a bad client
+    // once drew the answer away from the caller whose call it was. Only what is the same to the letter is the
+    // same call: on its own connection it needs no second answer, on another it crossed a close.
+    const bool same = call.set_up == identity_of(m);
+    if (!same || (call.stands && !own))
+      return refuse_malformed(conn, m.id, "the id is that of another open call", out);
+    if (!own) {
       if (const auto old = connections_.find(call.conn); old != connections_.end())
         old->second.waiting.erase(it->second);
       call.conn = conn;
@@ -117,7 +131,7 @@
   const std::string trouble = read_request(now, m, request);
   if (!trouble.empty()) return refuse_malformed(conn, m.id, trouble, out);
   request.call = core::call_id(core::Front::platform, ++last_);
-  calls_.emplace(request.call, Call{m.id, conn});
+  calls_.emplace(request.call, Call{m.id, conn, identity_of(m)});
   by_id_.emplace(m.id, request.call);
   connections_[conn].waiting.insert(request.call);
   out.tell(core::RequestCame{std::move(request)});
@@ -219,6 +233,16 @@
   it->second.told.insert_or_assign(id, std::move(line));
 }
 
+void Platform::end_by_caller(CallId call, int cause, Outbox& out) {
+  const bool stood = calls_.at(call).stands;
+  forget(call);
+  if (stood) {
+    out.tell(core::CallerReleased{call, cause});
+  } else {
+    out.tell(core::CallerGaveUp{call});
+  }
+}
+
 void Platform::forget(CallId call) {
   const auto it = calls_.find(call);
   if (it == calls_.end()) return;
--- a/src/front/platform.h
+++ b/src/front/platform.h
@@ -36,6 +36,7 @@
   struct Call {
     std::string id;
     net::ConnId conn;
+    std::string set_up;  // what it asked for: tells one sent again from another under its id
     bool stands = false;
   };
   struct Connection {
@@ -48,6 +49,7 @@
   std::string read_request(Time now, const jsonl::Message& m, core::Request& request) const;
   void refuse_malformed(net::ConnId conn, const std::string& id, const std::string& trouble, Outbox& out);
   void tell(net::ConnId preferred, const std::string& id, std::string line, Outbox& out);
+  void end_by_caller(CallId call, int cause, Outbox& out);
   void forget(CallId call);
 
   std::vector<std::string> class_names_;
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -251,6 +251,53 @@
   CHECK_EQ(lab.line().type, "answer");
 }
 
+// The answer of an open call went to whoever named its id last; under a standing id there was no word at all.
+void an_id_that_is_open_belongs_to_its_caller() {
+  Ready lab;
+  const ConnId other{Concern::platform, 2};
+  lab.tell(net::Accepted{other});
+  lab.receive(kCaller, set_up());
+  const sip::Message invite = lab.invite(lab.s0);
+  std::string different = set_up();
+  different.replace(different.find("offer"), 5, "other");
+  lab.receive(other, different);
+  CHECK_EQ(lab.lines(other).at(0).type, "release");
+  lab.receive(other, R"({"type":"release","id":")" + kId + R"(","fields":{},"cause":16})" + "\n");
+  lab.receive(other, R"({"type":"setup","id":")" + kId + R"(","fields":{"class":"no"}})" + "\n");
+  CHECK_EQ(lab.lines(other).size(), 2U);
+  lab.receive(kCaller, set_up());  // the same call once more is no second one
+  lab.receive(lab.s0, server_answer(invite, 200, "a"));
+  CHECK_EQ(lab.messages(lab.s0).size(), 1U);  // the ACK: nothing was called off
+  CHECK_EQ(lab.line().type, "answer");
+  lab.receive(other, different);
+  CHECK_EQ(lab.lines(other).at(0).type, "release");
+  CHECK(lab.lines(kCaller).empty() && lab.messages(lab.s0).empty());
+}
+
+void a_set_up_that_crossed_a_close_is_answered_on_its_new_connection() {
+  Ready lab;
+  const ConnId other{Concern::platform, 2};
+  lab.tell(net::Accepted{other});
+  lab.receive(kCaller, set_up());
+  lab.receive(other, set_up(kId, 1400));
+  lab.tell(net::Closed{kCaller, false});
+  lab.receive(lab.s0, server_answer(lab.invite(lab.s0), 200, "a"));
+  CHECK_EQ(lab.lines(other).at(0).type, "answer");
+}
+
+void two_calls_under_one_id_on_one_connection_are_both_refused() {  // which one was answered could not be
+                                                                    // told
+  Ready lab;
+  std::string different = set_up();
+  different.replace(different.find("offer"), 5, "other");
+  lab.receive(kCaller, set_up() + different);
+  CHECK_EQ(lab.line().type, "release");
+  const auto sent = lab.messages(lab.s0);
+  CHECK_EQ(sent.at(1).method, "CANCEL");
+  lab.receive(lab.s0, server_answer(sent[0], 200, "a"));
+  CHECK(lab.lines(kCaller).empty());
+}
+
 void a_ping_passes_when_ready() {
   Lab lab;
   lab.tell(net::Accepted{kCaller});
@@ -405,6 +452,9 @@
   calls_of_a_quiet_server_are_kept();
   a_release_finds_another_connection();
   malformed_lines_are_refused_and_harm_nobody();
+  an_id_that_is_open_belongs_to_its_caller();
+  a_set_up_that_crossed_a_close_is_answered_on_its_new_connection();
+  two_calls_under_one_id_on_one_connection_are_both_refused();
   a_ping_passes_when_ready();
   a_stop_lets_open_requests_finish();
   random_steps_keep_the_rules();
