--- a/src/app/gatekeeper.cpp
+++ b/src/app/gatekeeper.cpp
@@ -207,6 +207,25 @@
   out.net.push_back(net::Print{counters_text()});
 }
 
+void Gatekeeper::on(Time, const net::ReloadAsked&, Outbox& out) {
+  out.net.push_back(net::ReadFile{config_.path});
+}
+
+// The journal service's address is what may change while the program runs; calls and connections go on as
+// they are, and a file that is no use changes nothing.
+void Gatekeeper::on(Time now, const net::FileRead& e, Outbox& out) {
+  try {
+    if (!e.text) throw BadConfig("cannot read " + e.path);
+    const PlatformConfig fresh = read_platform_config(*e.text);
+    counters_.add("config.reloads");
+    out.log(net::Level::info, "the configuration was read again");
+    journal_.move(now, fresh.journal, out);
+  } catch (const BadConfig& trouble) {
+    counters_.add("config.reloads_bad");
+    out.log(net::Level::error, std::string("the old configuration is kept: ") + trouble.what());
+  }
+}
+
 void Gatekeeper::finish_if_drained(Time now, Outbox& out) {
   if (!stop_asked_ || now - *stop_asked_ < kStillComing) return;
   if (broker_.unanswered() > 0 && now - *stop_asked_ < kLatestEnd) return;
--- a/src/app/gatekeeper.h
+++ b/src/app/gatekeeper.h
@@ -37,6 +37,8 @@
   void on(Time now, const net::TimerFired& e, Outbox& out);
   void on(Time now, const net::StopAsked& e, Outbox& out);
   void on(Time now, const net::CountersAsked& e, Outbox& out);
+  void on(Time now, const net::ReloadAsked& e, Outbox& out);
+  void on(Time now, const net::FileRead& e, Outbox& out);
 
   void take_list(Time now, const HostList& list, ListKind kind, Outbox& out);
   const std::string& name_of(ServerId server) const;
--- a/src/back/journal.cpp
+++ b/src/back/journal.cpp
@@ -9,9 +9,11 @@
 using namespace std::chrono_literals;
 
 constexpr Duration kConnectWithin = 1s;
-constexpr Duration kPause = 200ms;     // before connecting again
-constexpr Duration kSilence = 2500ms;  // a comment comes every second: after so long the connection is dead
-constexpr Duration kLook = 500ms;
+constexpr Duration kPause = 200ms;  // before connecting again
+// A comment comes every second: after so long the connection is dead. What a service that stopped would have
+// told counts as told after 4 s; with the look and the time to connect this takes 3.45 s at most.
+constexpr Duration kSilence = 2200ms;
+constexpr Duration kLook = 250ms;
 enum Timer : std::uint64_t { kReconnect, kWatch };
 
 }  // namespace
@@ -19,20 +21,32 @@
 void Journal::start(Time now, Outbox& out) {
   if (address_.empty()) return;
   connect(out);
-  out.arm(net::Concern::journal, kWatch, now + kLook);
+  if (!std::exchange(watched_, true)) out.arm(net::Concern::journal, kWatch, now + kLook);
+}
+
+void Journal::move(Time now, const std::string& address, Outbox& out) {
+  if (address == address_) return;
+  out.log(net::Level::info, "the journal service is at " + address + " now");
+  counters_.add("journal.moves");
+  if (connections_ > 0) out.close({net::Concern::journal, connections_});
+  address_ = address;
+  ++connections_;  // what the old connection may still tell is not heard
+  open_ = waiting_ = false;
+  start(now, out);
 }
 
 void Journal::connect(Outbox& out) {
   head_.reset();
   body_.reset();
   text_.clear();
-  open_ = false;
+  open_ = waiting_ = false;
   out.net.push_back(net::Connect{{net::Concern::journal, ++connections_}, address_, kConnectWithin});
 }
 
 void Journal::again(Time now, Outbox& out) {
   counters_.add("journal.reconnects");
   open_ = false;
+  waiting_ = true;
   out.arm(net::Concern::journal, kReconnect, now + kPause);
 }
 
@@ -42,6 +56,7 @@
 }
 
 void Journal::on(Time now, const net::Connected& e, Outbox& out) {
+  if (e.conn.number != connections_) return out.close(e.conn);  // to where the service was before
   open_ = true;
   heard_ = now;
   std::string request = "GET /journal HTTP/1.1\r\nHost: " + address_ + "\r\nAccept: text/event-stream\r\n";
@@ -49,17 +64,24 @@
   out.send(e.conn, std::move(request));
 }
 
-void Journal::on(Time now, const net::ConnectFailed&, Outbox& out) { again(now, out); }
+void Journal::on(Time now, const net::ConnectFailed& e, Outbox& out) {
+  if (e.conn.number == connections_) again(now, out);
+}
 
 void Journal::on(Time now, const net::Closed& e, Outbox& out) {
   if (open_ && e.conn.number == connections_) again(now, out);
 }
 
 void Journal::on(Time now, const net::TimerFired& e, Outbox& out) {
-  if (e.key.number == kReconnect) return connect(out);
+  if (e.key.number == kReconnect) {
+    if (waiting_) connect(out);
+    return;
+  }
   if (open_ && now - heard_ > kSilence) {  // a cut network gives no sign
     out.log(net::Level::warning, "the journal service is silent: connecting again");
-    drop(now, out);
+    counters_.add("journal.reconnects");
+    out.close({net::Concern::journal, connections_});
+    connect(out);
   }
   out.arm(net::Concern::journal, kWatch, now + kLook);
 }
--- a/src/back/journal.h
+++ b/src/back/journal.h
@@ -17,6 +17,8 @@
       : address_(std::move(address)), position_(position), counters_(counters) {}
 
   void start(Time now, Outbox& out);
+  // The service is at this address from now on; what it tells carries on where the old one's ended.
+  void move(Time now, const std::string& address, Outbox& out);
   void on(Time now, const net::Connected& e, Outbox& out);
   void on(Time now, const net::ConnectFailed& e, Outbox& out);
   // Returns the lists that have come, in order.
@@ -34,6 +36,8 @@
   Counters& counters_;
   std::uint32_t connections_ = 0;
   bool open_ = false;
+  bool waiting_ = false;  // for the time to connect again
+  bool watched_ = false;
   Time heard_{};
   std::optional<http::Head> head_{};
   std::optional<http::Body> body_{};
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -38,6 +38,7 @@
 HostList read_hosts(const nlohmann::json& list);
 
 struct PlatformConfig {
+  std::string path{};  // of the file that it came from
   std::string name{};
   std::string listen{};
   std::string journal{};  // empty: none
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -43,6 +43,7 @@
   const std::string config_path = variable("RELAY_CONFIG");
   if (config_path.empty()) throw BadConfig("RELAY_CONFIG is not set");
   PlatformConfig config = read_platform_config(read_file(config_path));
+  config.path = config_path;
   if (const std::string listen = variable("RELAY_LISTEN"); !listen.empty()) config.listen = listen;
   if (const std::string name = variable("RELAY_NAME"); !name.empty()) config.name = name;
   const DeployConfig deploy =
@@ -74,6 +75,7 @@
 
 int main(int argc, char** argv) {
   std::signal(SIGPIPE, SIG_IGN);
+  std::signal(SIGHUP, SIG_IGN);  // until the loop watches for it
   try {
     return run(argc, argv);
   } catch (const std::exception& trouble) {
--- a/src/net/events.h
+++ b/src/net/events.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -60,10 +61,15 @@
 };
 struct StopAsked {};      // SIGTERM
 struct CountersAsked {};  // SIGUSR1
+struct ReloadAsked {};    // SIGHUP
+struct FileRead {         // what ReadFile asked for; no text: it can't be read
+  std::string path;
+  std::optional<std::string> text;
+};
 struct Started {};
 
 using Event = std::variant<Started, Accepted, Connected, ConnectFailed, Received, Closed, Datagram,
-                           TimerFired, StopAsked, CountersAsked>;
+                           TimerFired, StopAsked, CountersAsked, ReloadAsked, FileRead>;
 
 // ---- Effects
 
@@ -100,6 +106,9 @@
   TimerKey key;
   Time at{};
 };
+struct ReadFile {
+  std::string path;
+};
 struct Log {
   Level level{};
   std::string text;
@@ -111,8 +120,8 @@
   int status{};
 };
 
-using Effect =
-    std::variant<Listen, Bind, Connect, Send, SendDatagram, Consume, Close, ArmTimer, Log, Print, Exit>;
+using Effect = std::variant<Listen, Bind, Connect, Send, SendDatagram, Consume, Close, ArmTimer, ReadFile,
+                            Log, Print, Exit>;
 using Effects = std::vector<Effect>;
 
 }  // namespace graniterun::net
--- a/src/net/runtime.cpp
+++ b/src/net/runtime.cpp
@@ -98,6 +98,7 @@
     loop_ = g_main_loop_new(nullptr, FALSE);
     Source term;
     Source user;
+    Source hangup;
     Source tick;
     // A timer's source: made ready at the earliest due time. Timers go before reading, or a flood of input
     // would make deadlines late.
@@ -106,6 +107,7 @@
     tick_ = tick.get();
     term.start(g_unix_signal_source_new(SIGTERM), &Impl::on_term, this);
     user.start(g_unix_signal_source_new(SIGUSR1), &Impl::on_user, this);
+    hangup.start(g_unix_signal_source_new(SIGHUP), &Impl::on_hangup, this);
     step(Started{});
     if (!status_) g_main_loop_run(loop_);
     g_main_loop_unref(loop_);
@@ -160,6 +162,10 @@
     static_cast<Impl*>(data)->step(CountersAsked{});
     return G_SOURCE_CONTINUE;
   }
+  static gboolean on_hangup(gpointer data) {
+    static_cast<Impl*>(data)->step(ReloadAsked{});
+    return G_SOURCE_CONTINUE;
+  }
   static gboolean on_acceptable(GSocket*, GIOCondition, gpointer data) {
     auto* listener = static_cast<Listener*>(data);
     listener->impl.accept(*listener);
@@ -311,12 +317,30 @@
   void carry_out(const Close& e) {
     const auto it = connections_.find(e.conn);
     if (it == connections_.end()) return;
+    // A connect that is not awaited any more ends here: it once came up later, under an id given up.
+    if (!it->second->connected) {
+      connections_.erase(it);
+      return;
+    }
     it->second->closing = true;
     it->second->reading.end();
     dirty_.push_back(e.conn);
   }
 
   void carry_out(const ArmTimer& e) { arm(Timer{e.at, ++timer_order_, e.key}); }
+  void carry_out(const ReadFile& e) {
+    gchar* text = nullptr;
+    gsize size = 0;
+    GError* error = nullptr;
+    FileRead read{e.path, std::nullopt};
+    if (g_file_get_contents(e.path.c_str(), &text, &size, &error)) {
+      read.text.emplace(text, size);
+      g_free(text);
+    } else {
+      logger_.line(Level::warning, text_of(error));
+    }
+    later(std::move(read));
+  }
   void carry_out(const Log& e) { logger_.line(e.level, e.text); }
   void carry_out(const Print& e) { std::cerr << e.text << std::flush; }
   void carry_out(const Exit& e) {
--- a/tests/integration_test.cpp
+++ b/tests/integration_test.cpp
@@ -3,6 +3,7 @@
 #include <nlohmann/json.hpp>
 
 #include "proto/sip.h"
+#include "settings.h"
 #include "stand_in.h"
 
 using namespace graniterun;
@@ -17,53 +18,6 @@
 
 int free_port() { return Socket::bound(SOCK_STREAM).port(); }
 
-json settings() {
-  const auto call_class = [](const char* name, double worth) {
-    return json{{"name", name},
-                {"promiseNs", 1500000000},
-                {"hardLimitNs", 9000000000},
-                {"worth", worth},
-                {"lateWorth", 0.1},
-                {"effect", "idempotent"},
-                {"group", "all"},
-                {"dedupWindowNs", 5000000000},
-                {"stream", true}};
-  };
-  return {{"areas", {"east side", "west"}},
-          {"az", 0},
-          {"classes", {call_class("voice", 1.0), call_class("safety", 6.0)}},
-          {"clients", {{"marksRetry", true}}},
-          {"familyInfo",
-           {{"classHoldNs", {9900000000, 6000000000}},
-            {"layout", "groups"},
-            {"peerLoad", "answers"},
-            {"poolsByClass", {{0}, {0}}},
-            {"releaseGuardNs", 200000000},
-            {"resendNs", 400000000},
-            {"tellsWait", false}}},
-          {"guarantees",
-           {{"answerSlackNs", 20000000},
-            {"askEveryNs", 10000000000},
-            {"coldFrom", 0.35},
-            {"coldNs", 15000000000},
-            {"fallMultiple", 2.5},
-            {"stopSendingWithinNs", 2000000000},
-            {"tipAfterNs", 1500000000}}},
-          {"limits",
-           {{"cancel", true},
-            {"connectTimeoutNs", 500000000},
-            {"maxAttempts", 5},
-            {"maxRetryAfterNs", 2000000000},
-            {"peers", false},
-            {"retryAfter", true}}},
-          {"me", 0},
-          {"membershipMode", "pushed"},
-          {"objectiveMix", {{"worstClass", 0.3}}},
-          {"prices", {{"lateFail", 0.03}, {"waste", 0.02}, {"peer", 0.0}}},
-          {"replicasOfMe", 3},
-          {"roundNs", 5000000}};
-}
-
 // A program with one setup server and a journal service.
 struct World {
   explicit World(const json& deploy = {}) {
@@ -72,13 +26,13 @@
                    {"state", "ready"},     {"capacity_hint", 4},
                    {"model", "std-1core"}, {"boot_ms", 0}};
     const json hosts = {{"rev", 1}, {"all", true}, {"targets", {target}}};
-    const json config = {{"name", "t1"},
-                         {"listen", at(port)},
-                         {"seed", "8c1f30d27a5be964"},
-                         {"limits", {{"cores", 1.0}, {"memory_mb", 192}, {"sockets", 1024}}},
-                         {"journal", at(journal_listener.port())},
-                         {"known", {{"pos", 3}, {"entries", {{{"pos", 3}, {"hosts", hosts}}}}}},
-                         {"settings", settings()}};
+    config = {{"name", "t1"},
+              {"listen", at(port)},
+              {"seed", "8c1f30d27a5be964"},
+              {"limits", {{"cores", 1.0}, {"memory_mb", 192}, {"sockets", 1024}}},
+              {"journal", at(journal_listener.port())},
+              {"known", {{"pos", 3}, {"entries", {{{"pos", 3}, {"hosts", hosts}}}}}},
+              {"settings", settings()}};
     program.emplace(binary, config.dump(), deploy.is_null() ? "" : deploy.dump());
     server = server_listener.accept();
     server.send("NOTIFY sip:x@net SIP/2.0\r\nCall-ID: n\r\nP-Load: x0:30;x1:40\r\nContent-Length: 0\r\n\r\n");
@@ -92,6 +46,7 @@
                 "\r\nCSeq: " + std::string(invite.header("CSeq")) +
                 "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
   }
+  json config;
   Socket server_listener = Socket::bound(SOCK_STREAM);
   Socket journal_listener = Socket::bound(SOCK_STREAM);
   int port = free_port();
@@ -221,6 +176,28 @@
   CHECK_EQ(attempts, 2U);
 }
 
+// SIGHUP once ended the program. A call stands, one is open and the journal service moves meanwhile.
+void a_reload_moves_the_journal_and_leaves_calls_alone() {
+  World world;
+  world.caller.send(set_up("00000000000000aa", 5000));
+  const sip::Message invite = world.from_server();
+  world.program->configure("no configuration");  // is not taken over
+  world.program->signal(SIGHUP);
+  world.program->wait_for_log("the old configuration is kept");
+  Socket moved = Socket::bound(SOCK_STREAM);
+  world.config["journal"] = at(moved.port());
+  world.program->configure(world.config.dump());
+  world.program->signal(SIGHUP);
+  Socket feed = moved.accept();
+  CHECK(feed.until("\r\n\r\n").find("Last-Event-ID: 3\r\n") != std::string::npos);
+  CHECK(world.journal.ends());
+  world.answer(invite, "200 OK", "answer");
+  CHECK_EQ(json::parse(world.caller.line())["sdp"], "answer");
+  world.program->signal(SIGTERM);
+  CHECK_EQ(world.program->exit_status(), 0);
+  CHECK(world.program->log().find("config.reloads_bad 1\n") != std::string::npos);
+}
+
 void a_bad_configuration_is_one_plain_line() {
   for (const std::string config :
        {"", "[]", R"({"listen":"127.0.0.1:1"})", R"({"listen":5,"seed":"1","settings":{}})",
@@ -244,5 +221,6 @@
   binary = argv[1];
   a_bad_configuration_is_one_plain_line();
   the_platform_is_served_until_it_is_stopped();
+  a_reload_moves_the_journal_and_leaves_calls_alone();
   sip_is_served_over_udp_and_tcp_and_traced();
 }
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -3,6 +3,7 @@
 #include <set>
 
 #include "lab.h"
+#include "settings.h"
 
 using namespace graniterun;
 using namespace graniterun::test;
@@ -158,6 +159,38 @@
   CHECK(lab.take(again).find("Last-Event-ID: 4\r\n") != std::string::npos);
 }
 
+// The old service may still come up, answer or end after the move, and a time to ask it again may be pending.
+void a_journal_that_moves_is_asked_for_what_is_new() {
+  for (const bool broken : {false, true}) {
+    PlatformConfig config = config_for_tests();
+    config.journal = "127.0.0.1:8500";
+    config.known_position = 7;
+    Lab lab(config);
+    const auto dialled = [&](const std::string& address) {
+      std::vector<ConnId> all;
+      for (const net::Connect& c : lab.connects) {
+        if (c.address == address) all.push_back(c.conn);
+      }
+      return all;
+    };
+    const ConnId old = dialled("127.0.0.1:8500").at(0);
+    if (broken) lab.tell(net::ConnectFailed{old, true});
+    const nlohmann::json fresh_config = {
+        {"listen", "127.0.0.1:1"}, {"seed", "1"}, {"journal", "127.0.0.1:8501"}, {"settings", settings()}};
+    lab.tell(net::FileRead{"", fresh_config.dump()});
+    const ConnId fresh = dialled("127.0.0.1:8501").at(0);
+    lab.tell(net::Connected{fresh});
+    CHECK(lab.take(fresh).find("Last-Event-ID: 7\r\n") != std::string::npos);
+    if (!broken) lab.tell(net::Closed{old, false});
+    lab.pass(2s);
+    CHECK_EQ(dialled("127.0.0.1:8500").size(), 1U);
+    CHECK_EQ(dialled("127.0.0.1:8501").size(), 1U);
+    // One that stops while it stays open is asked again well within 4 s.
+    lab.pass(500ms);
+    CHECK_EQ(dialled("127.0.0.1:8501").size(), 2U);
+  }
+}
+
 void a_lost_connection_gives_up_its_set_ups_only() {
   Ready lab;
   lab.receive(kCaller, set_up("00000000000000aa") + set_up("00000000000000bb", 3000));
@@ -446,6 +479,7 @@
   after_a_reset_the_release_is_awaited();
   a_full_server_sends_the_call_elsewhere_at_once();
   nothing_new_to_a_server_that_drains();
+  a_journal_that_moves_is_asked_for_what_is_new();
   a_lost_connection_gives_up_its_set_ups_only();
   calls_of_a_vanished_server_are_released_in_time();
   set_ups_at_a_vanished_server_go_elsewhere();
--- a/tests/stand_in.h
+++ b/tests/stand_in.h
@@ -136,7 +136,7 @@
   Program(const std::string& binary, const std::string& config, const std::string& deploy = {}) {
     const std::string dir = std::string(::getenv("TMPDIR") ? ::getenv("TMPDIR") : "/tmp");
     base_ = dir + "/graniterun-test-" + std::to_string(::getpid()) + "-" + std::to_string(++started());
-    std::ofstream(base_ + ".json") << config;
+    configure(config);
     if (!deploy.empty()) std::ofstream(base_ + ".deploy") << deploy;
     pid_ = ::fork();
     CHECK(pid_ >= 0);
@@ -160,6 +160,15 @@
     }
     for (const char* end : {".json", ".deploy", ".log"}) ::unlink((base_ + end).c_str());
   }
+  void configure(const std::string& config) const { std::ofstream(base_ + ".json") << config; }
+  // Looked for until it is there: there is no event for it.
+  void wait_for_log(const std::string& text) const {
+    const auto end = std::chrono::steady_clock::now() + std::chrono::milliseconds(kPatienceMs);
+    while (log().find(text) == std::string::npos) {
+      CHECK(std::chrono::steady_clock::now() < end);
+      ::poll(nullptr, 0, 5);
+    }
+  }
   void signal(int number) const { ::kill(pid_, number); }
   int exit_status() {
     int status = 0;
