Match answers by Call-ID and method, and close a server's connection once it is spoilt

(2) After a message that was malformed but not 'lost' the connection was kept; nothing came on it any more, yet it took set-ups for 1.2 to 3 s. Excluded: connections that broke (given up at once before), second copies and unknown ids (passed over before). Now: an answer is that of the attempt on its connection, a BYE of the one that stands; anything spoilt, a length that does not fit what follows (read_stream, so in the SIP front and trunk too), text that is not UTF-8, a message not whole after 400 ms, and a connection that is not told its server's state when another is, end the connection.

--- a/src/back/setup_servers.cpp
+++ b/src/back/setup_servers.cpp
@@ -11,6 +11,8 @@
 using namespace std::chrono_literals;
 
 constexpr Duration kTick = 50ms;
+// A message that has begun is whole within so long, or the connection is of no more use.
+constexpr Duration kWholeWithin = 400ms;
 constexpr Duration kReconnectPause = 250ms;
 // A server with calls that says nothing for so long is tried on a new connection: a machine that vanished
 // leaves the old one open and silent.
@@ -26,6 +28,9 @@
 // An attempt that was given up, or a call that was released, is remembered so long for what comes late.
 constexpr Duration kRemembered = 10s;
 
+// How much later than on another connection a state may be told.
+constexpr Duration kToldSlack = 100ms;
+
 constexpr int kNormal = 16;  // causes of Q.850
 constexpr int kCut = 41;
 
@@ -64,6 +69,27 @@
   return cause;
 }
 
+bool is_utf8(std::string_view text) {
+  for (std::size_t at = 0; at < text.size();) {
+    const auto lead = static_cast<unsigned char>(text[at]);
+    const std::size_t more = lead < 0x80       ? 0
+                             : lead >> 5 == 6  ? 1
+                             : lead >> 4 == 14 ? 2
+                             : lead >> 3 == 30 ? 3
+                                               : 4;
+    if (more == 4 || lead == 0xc0 || lead == 0xc1 || lead > 0xf4 || at + more >= text.size()) return false;
+    for (std::size_t i = 1; i <= more; ++i) {
+      const auto next = static_cast<unsigned char>(text[at + i]);
+      if (next >> 6 != 2) return false;
+      const bool first_wrong = (lead == 0xe0 && next < 0xa0) || (lead == 0xed && next > 0x9f) ||
+                               (lead == 0xf0 && next < 0x90) || (lead == 0xf4 && next > 0x8f);
+      if (i == 1 && first_wrong) return false;
+    }
+    at += more + 1;
+  }
+  return true;
+}
+
 FullReason reason_of(std::string_view word) {
   if (word == "all_trunks_busy") return FullReason::no_line;
   if (word == "via_said_no" || word == "far_cpu_full") return FullReason::returned;
@@ -153,7 +179,7 @@
   const std::uint32_t number = ++last_connection_;
   server.connecting = number;
   server.next_connect = now + kReconnectPause;
-  connections_[number] = {server.id, false, now, now};
+  connections_[number] = {server.id, false, now, {}, {}};
   counters_.add("servers.connects");
   out.net.push_back(net::Connect{{net::Concern::server, number}, server.host.address, connect_within_});
 }
@@ -249,6 +275,13 @@
   }
 }
 
+void SetupServers::spoilt(Time now, std::uint32_t conn, Outbox& out) {
+  const auto it = connections_.find(conn);
+  Server* server = it == connections_.end() ? nullptr : find(it->second.server);
+  let_go(conn, false, out);
+  if (server != nullptr) look_after(now, *server, out);
+}
+
 bool SetupServers::has_unanswered(std::uint32_t conn) const {
   return std::any_of(legs_.begin(), legs_.end(), [conn](const auto& l) {
     return l.second.conn == conn &&
@@ -303,6 +336,14 @@
     }
     leg = next;
   }
+  std::vector<std::uint32_t> stuck;
+  for (const auto& [number, c] : connections_) {
+    if (c.half_since && now - *c.half_since > kWholeWithin) stuck.push_back(number);
+  }
+  for (const std::uint32_t number : stuck) {
+    counters_.add("servers.messages_cut_short");
+    spoilt(now, number, out);
+  }
   // Connections that are not the server's current one go once nothing is awaited on them.
   std::vector<std::uint32_t> idle;
   for (const auto& [number, c] : connections_) {
@@ -421,45 +462,67 @@
     }
     const sip::ReadResult read = sip::read_stream(e.bytes.substr(used));
     used += read.used;
-    if (read.state == sip::ReadState::more) break;
-    if (read.state == sip::ReadState::malformed) {
+    if (read.state == sip::ReadState::more) {
+      if (!it->second.half_since) it->second.half_since = now;
+      break;
+    }
+    it->second.half_since.reset();
+    if (std::string trouble = trouble_with(read); !trouble.empty()) {
+      // Whatever is spoilt, nothing more comes on that connection: kept in use where the next message could
+      // have been found, it once took set-ups for seconds that were never answered.
       counters_.add("servers.malformed");
-      out.log(net::Level::warning, "a setup server's message is refused: " + read.trouble);
-      if (!read.lost) continue;
-      let_go(e.conn.number, false, out);
+      out.log(net::Level::warning, "a setup server's message is refused: " + trouble);
+      spoilt(now, e.conn.number, out);
       return strays;
     }
     if (read.message.is_request()) {
-      requested(now, e.conn, it->second, read.message, out, strays);
+      requested(now, e.conn.number, read.message, out, strays);
     } else {
-      answered(now, it->second, read.message, out);
+      answered(now, e.conn.number, read.message, out);
     }
   }
   out.net.push_back(net::Consume{e.conn, used});
   return strays;
 }
 
-// The latest attempt of the call at this server; the one that CSeq names where it names one.
-SetupServers::Legs::iterator SetupServers::leg_of(const Connection& c, const sip::Message& m) {
+// What makes a message one that can't be read, or can't be passed on unchanged.
+std::string SetupServers::trouble_with(const sip::ReadResult& read) {
+  if (read.state == sip::ReadState::malformed) return read.trouble;
+  const sip::Message& m = read.message;
+  if (!m.is_request() && !sip::cseq_of(m)) return "an answer has no CSeq";
+  if (!m.is_request() && m.header("Call-ID").empty()) return "an answer has no Call-ID";
+  if (m.body.find("SIP/2.0\r\n") != std::string::npos) return "a body holds the next message";
+  if (!is_utf8(m.body)) return "a description is not text";
+  return {};
+}
+
+// Of the call's attempts at this server the latest; for a BYE the one that stands, for an answer one whose
+// set-up went by this connection. Answers are matched on Call-ID and the method in CSeq: its number is the
+// server's own. Taken for that of an attempt, the answer to a second one at the same server was once laid to
+// the first, and the call hung until its deadline.
+SetupServers::Legs::iterator SetupServers::leg_of(std::uint32_t conn, const sip::Message& m) {
   const std::string label(m.header("Call-ID"));
-  const auto cseq = sip::cseq_of(m);
+  const ServerId server = connections_.at(conn).server;
+  const auto fits = [&](const Leg& leg) {
+    return m.is_request() ? leg.state == LegState::stands : leg.conn == conn;
+  };
   auto found = legs_.end();
   for (auto it = legs_.lower_bound({label, 0}); it != legs_.end() && it->first.first == label; ++it) {
-    if (it->second.server != c.server) continue;
-    found = it;
-    if (!m.is_request() && cseq && static_cast<int>(cseq->number) == it->second.attempt + 1) break;
+    const Leg& leg = it->second;
+    if (leg.server != server || leg.state == LegState::queued) continue;
+    if (found == legs_.end() || fits(leg) || !fits(found->second)) found = it;
   }
   return found;
 }
 
-void SetupServers::answered(Time now, const Connection& c, const sip::Message& m, Outbox& out) {
+void SetupServers::answered(Time now, std::uint32_t conn, const sip::Message& m, Outbox& out) {
   const LoadReport report = report_of(m);
   const auto cseq = sip::cseq_of(m);
   if (!cseq || cseq->method != "INVITE" || m.status < 200) {
-    if (cseq && cseq->method == "OPTIONS") out.tell(core::ReportHeard{c.server, report});
+    if (cseq && cseq->method == "OPTIONS") out.tell(core::ReportHeard{connections_.at(conn).server, report});
     return;
   }
-  const auto it = leg_of(c, m);
+  const auto it = leg_of(conn, m);
   if (it == legs_.end()) {
     counters_.add("servers.answers_unknown");
     return;
@@ -501,11 +564,12 @@
   if (leg.state != LegState::stands) legs_.erase(it);
 }
 
-void SetupServers::requested(Time now, net::ConnId conn, const Connection& c, const sip::Message& m,
-                             Outbox& out, std::vector<StrayRelease>& strays) {
+void SetupServers::requested(Time now, std::uint32_t conn, const sip::Message& m, Outbox& out,
+                             std::vector<StrayRelease>& strays) {
   if (m.method == "NOTIFY") {
     counters_.add("servers.notifies");
-    out.tell(core::ReportHeard{c.server, report_of(m)});
+    note_told(now, conn, out);
+    out.tell(core::ReportHeard{connections_.at(conn).server, report_of(m)});
     return;
   }
   if (m.method == "ACK" || m.method == "CANCEL") return;
@@ -515,20 +579,27 @@
   for (const std::string_view via : m.all("Via")) answer.add("Via", std::string(via));
   answer.add("Call-ID", std::string(m.header("Call-ID")));
   answer.add("CSeq", std::string(m.header("CSeq")));
-  out.send(conn, answer.text());
+  out.send({net::Concern::server, conn}, answer.text());
   if (m.method != "BYE") return;
   counters_.add("servers.byes_in");
   const int cause = cause_in(m.header("Reason"));
   const LoadReport report = report_of(m);
-  const auto it = leg_of(c, m);
+  const auto it = leg_of(conn, m);
   if (it == legs_.end()) {
     strays.push_back({std::string(m.header("Call-ID")), cause});
     return;
   }
   Leg& leg = it->second;
-  if (leg.state != LegState::stands) return;
+  if (leg.state != LegState::stands && leg.state != LegState::sent) return;
   core::AttemptOver ended;
   ended.outcome = cause == kNormal ? Outcome::ok : Outcome::reset;
+  if (leg.state == LegState::sent) {
+    // It stood and is over, and its answer was lost on the way. The callee has been rung: there is no second
+    // try.
+    counters_.add("servers.answers_lost");
+    ended.outcome = Outcome::reset;
+    ended.crossed = true;
+  }
   ended.cause = cause;
   ended.report = report;
   over(it, ended, out);
@@ -536,6 +607,28 @@
   leg.since = now;
 }
 
+// A server tells its state on all its connections at once. One that has not heard it while another has is
+// dead, though it stays open: its set-ups once hung there until their callers gave up.
+void SetupServers::note_told(Time now, std::uint32_t conn, Outbox& out) {
+  Connection& c = connections_.at(conn);
+  Server* server = find(c.server);
+  if (server == nullptr) return;
+  if (c.told_at) server->told_every = std::max(now - *c.told_at, server->told_every * 9 / 10);
+  c.told_at = now;
+  if (server->told_every == Duration{}) return;
+  const Duration silence = server->told_every + server->told_every / 4 + kToldSlack;
+  std::vector<std::uint32_t> deaf;
+  for (const auto& [number, other] : connections_) {
+    if (number != conn && other.server == server->id && other.up && now - other.heard > silence)
+      deaf.push_back(number);
+  }
+  for (const std::uint32_t number : deaf) {
+    counters_.add("servers.connections_deaf");
+    out.log(net::Level::info, "a connection to setup server " + server->host.uid + " is dead: it is closed");
+    spoilt(now, number, out);
+  }
+}
+
 void SetupServers::over(Legs::iterator leg, core::AttemptOver ended, Outbox& out) {
   ended.call = leg->second.request->call;
   ended.attempt = leg->second.attempt;
--- a/src/back/setup_servers.h
+++ b/src/back/setup_servers.h
@@ -62,7 +62,8 @@
     ServerId server{};
     bool up = false;
     Time heard{};
-    Time began{};
+    std::optional<Time> told_at{};     // its state, last
+    std::optional<Time> half_since{};  // a message has begun and is not whole
   };
   struct Server {
     Host host;
@@ -75,20 +76,24 @@
     bool refused = false;                     // the last one was refused
     std::optional<Time> lost_at{};            // all connections broke, none has come up since
     Time next_connect{};
+    Duration told_every{};  // about: it tells its state by itself
   };
 
   Server* find(ServerId id);
   void connect(Time now, Server& server, Outbox& out);
   void send_invite(Time now, Server& server, Leg& leg, Outbox& out);
   void look_after(Time now, Server& server, Outbox& out);
-  void answered(Time now, const Connection& c, const sip::Message& m, Outbox& out);
-  void requested(Time now, net::ConnId conn, const Connection& c, const sip::Message& m, Outbox& out,
+  void answered(Time now, std::uint32_t conn, const sip::Message& m, Outbox& out);
+  void requested(Time now, std::uint32_t conn, const sip::Message& m, Outbox& out,
                  std::vector<StrayRelease>& strays);
   void over(Legs::iterator leg, core::AttemptOver over, Outbox& out);
   void end_calls(Server& server, std::optional<Time> stood_before, Outbox& out);
   void let_go(std::uint32_t conn, bool closed, Outbox& out);
+  void spoilt(Time now, std::uint32_t conn, Outbox& out);
+  void note_told(Time now, std::uint32_t conn, Outbox& out);
+  static std::string trouble_with(const sip::ReadResult& read);
   bool has_unanswered(std::uint32_t conn) const;
-  Legs::iterator leg_of(const Connection& c, const sip::Message& m);
+  Legs::iterator leg_of(std::uint32_t conn, const sip::Message& m);
   void send(Leg& leg, const sip::Message& m, Outbox& out);
 
   Duration connect_within_;
--- a/src/proto/sip.cpp
+++ b/src/proto/sip.cpp
@@ -195,6 +195,20 @@
   return uri.substr(0, uri.find_first_of(";?>"));
 }
 
+bool may_begin(std::string_view bytes) {
+  while (!bytes.empty() && (bytes.front() == '\r' || bytes.front() == '\n')) bytes.remove_prefix(1);
+  constexpr std::string_view kAnswer = "SIP/2.0 ";
+  const std::size_t part = std::min(bytes.size(), kAnswer.size());
+  if (bytes.substr(0, part) == kAnswer.substr(0, part)) return true;
+  const std::size_t space = std::min(bytes.find(' '), bytes.size());
+  const std::string_view method = bytes.substr(0, space);
+  if (!std::all_of(method.begin(), method.end(), [](unsigned char c) { return std::isupper(c); }))
+    return false;
+  if (space == bytes.size()) return true;
+  const std::string_view uri = bytes.substr(space + 1, bytes.find(':', space) - space - 1);
+  return std::all_of(uri.begin(), uri.end(), [](unsigned char c) { return std::isalpha(c); });
+}
+
 ReadResult read_stream(std::string_view bytes) {
   ReadResult result;
   std::size_t skipped = 0;
@@ -226,6 +240,8 @@
   }
   result.used = skipped + head + *length;
   if (!trouble.empty()) return malformed(std::move(result), std::move(trouble), false);
+  if (!may_begin(rest.substr(head + *length)))
+    return malformed(std::move(result), "the Content-Length does not fit the message", true);
   result.message.body = rest.substr(head, *length);
   result.state = ReadState::message;
   return result;
--- a/src/proto/sip.h
+++ b/src/proto/sip.h
@@ -55,7 +55,10 @@
   bool lost = false;  // malformed, and where the next message begins can't be told
 };
 
-// Reads one message at the beginning of a stream. Empty lines before it are passed over.
+// Whether a message may begin with these bytes, as far as they go.
+bool may_begin(std::string_view bytes);
+// Reads one message at the beginning of a stream. What follows its body must be able to begin the next one:
+// else the length did not fit, and the body is not whole. Empty lines before it are passed over.
 ReadResult read_stream(std::string_view bytes);
 // Reads a message that is a whole datagram.
 ReadResult read_datagram(std::string_view bytes);
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -127,6 +127,113 @@
   CHECK_EQ(lab.messages(lab.s1).at(0).method, "INVITE");
 }
 
+// A server numbers its answers itself: with 1 in CSeq each time. Matched on that number too, the answer to a
+// further attempt at the same server was laid to the first one, and the call hung until its deadline.
+void a_further_attempt_at_the_same_server_is_answered() {
+  Ready lab(1);
+  lab.receive(kCaller, set_up(kId, 4000));
+  const sip::Message first = lab.invite(lab.s0);
+  lab.pass(100ms);
+  lab.receive(kCaller, set_up("00000000000000bb"));  // answered ahead of it: the first one is lost
+  lab.receive(lab.s0, server_answer(lab.invite(lab.s0), 200, "b"));
+  CHECK_EQ(lab.line().id, "00000000000000bb");
+  lab.messages(lab.s0);
+  lab.pass(1200ms);
+  const auto sent = lab.messages(lab.s0);
+  CHECK_EQ(sent.size(), 2U);
+  CHECK_EQ(sent[0].method, "CANCEL");
+  CHECK_EQ(sent[1].header("Call-ID"), kId);
+  lab.receive(lab.s0, server_answer(first, 200, "a"));
+  CHECK_EQ(lab.line().type, "answer");
+  CHECK_EQ(lab.messages(lab.s0).size(), 1U);  // the ACK: the call is not released
+  // Its end is that of the attempt that stands, on whichever connection it comes.
+  lab.receive(lab.s0, server_bye(kId, 16));
+  CHECK_EQ(lab.line().type, "release");
+}
+
+// The first attempt's connection is the one on which the end of the second came: it was laid to the first.
+void the_end_of_a_call_may_come_on_the_connection_of_an_earlier_attempt() {
+  Ready lab(1);
+  lab.receive(kCaller, set_up(kId, 4000));
+  const sip::Message first = lab.invite(lab.s0);
+  lab.pass(100ms);
+  lab.receive(kCaller, set_up("00000000000000bb") + set_up("00000000000000cc", 8000));
+  const auto others = lab.messages(lab.s0);
+  lab.receive(lab.s0, server_answer(others.at(0), 200, "b"));
+  lab.lines(kCaller);
+  lab.pass(580ms);
+  CHECK_EQ(lab.messages(lab.s0).back().method, "CANCEL");
+  lab.pass(100ms);  // nothing has come for 0.6 s: a second connection is tried and takes what follows
+  const ConnId next = lab.connects.at(0).conn;
+  lab.bring_up();
+  lab.pass(400ms);
+  CHECK_EQ(lab.messages(next).at(0).header("Call-ID"), kId);
+  lab.receive(next, server_answer(first, 200, "a"));
+  CHECK_EQ(lab.line().type, "answer");
+  lab.receive(lab.s0, server_bye(kId, 16));
+  CHECK_EQ(lab.line().type, "release");
+}
+
+// Where the next message could still be found, the connection was kept, and what was sent on it got no
+// answer.
+void a_spoilt_answer_ends_its_connection() {
+  const std::string head = "\r\nCall-ID: " + kId + "\r\nCSeq: 1 INVITE\r\nContent-Length: ";
+  const std::string spoilt[] = {
+      "SIP/9.9 OK 200" + head + "1\r\n\r\na",                                  // no first line
+      "SIP/2.0 200 OK\r\n: x" + head + "1\r\n\r\na",                           // a header without a name
+      "SIP/2.0 200 OK\r\nCall-ID: " + kId + "\r\nContent-Length: 1\r\n\r\na",  // no CSeq
+      "SIP/2.0 200 OK" + head + "1\r\n\r\na 8 101\r\n",                        // a length that is too short
+      "SIP/2.0 200 OK" + head + "3000000000\r\n\r\na",                         // one that claims to hold 3 GB
+      "SIP/2.0 200 OK" + head + "2\r\n\r\na\xff",                      // a description that is not text
+      "SIP/2.0 200 OK" + head + "20\r\n\r\nNOTIFY x SIP/2.0\r\n\r\n",  // one that has eaten the next message
+      "SIP/2.0 200 OK" + head + "20\r\n\r\na",                         // one that stops short
+  };
+  for (const std::string& bytes : spoilt) {
+    Ready lab;
+    lab.receive(kCaller, set_up(kId, 3000));
+    lab.invite(lab.s0);
+    lab.receive(lab.s0, bytes);
+    lab.pass(500ms);
+    CHECK(!lab.closed.empty() && lab.closed[0] == lab.s0);
+    CHECK(lab.lines(kCaller).empty());
+    lab.pass(300ms);
+    CHECK_EQ(lab.messages(lab.s1).at(0).header("Call-ID"), kId);
+  }
+}
+
+void an_answer_that_was_lost_shows_in_the_release() {  // it went unheard, and the caller was never told
+  Ready lab;
+  lab.receive(kCaller, set_up(kId, 3000));
+  const sip::Message invite = lab.invite(lab.s0);
+  lab.receive(lab.s0, server_bye(kId, 16));
+  CHECK_EQ(lab.line().type, "release");
+  lab.messages(lab.s0);
+  lab.receive(lab.s0, server_answer(invite, 200, "a"));
+  CHECK_EQ(lab.messages(lab.s0).at(1).method, "BYE");
+  lab.pass(3s);
+  CHECK(lab.lines(kCaller).empty() && lab.messages(lab.s1).empty());
+}
+
+// It stays open and silent while the server goes on telling its state on the others: its set-ups hung there.
+void a_connection_that_is_not_told_what_others_are_is_closed() {
+  Ready lab;
+  const std::string state = "NOTIFY sip:x@net SIP/2.0\r\nCall-ID: n\r\nContent-Length: 0\r\n\r\n";
+  for (int i = 0; i < 3; ++i) {
+    lab.pass(400ms);
+    lab.receive(lab.s0, state);
+  }
+  lab.receive(kCaller, set_up(kId, 3000));
+  lab.messages(lab.s0);
+  lab.pass(700ms);
+  const auto second = lab.bring_up("127.0.0.1:9000");
+  CHECK_EQ(second.size(), 1U);
+  CHECK(lab.closed.empty());
+  lab.receive(second[0], state);
+  CHECK(lab.closed.size() == 1 && lab.closed[0] == lab.s0);
+  lab.pass(300ms);
+  CHECK_EQ(lab.messages(lab.s1).at(0).header("Call-ID"), kId);
+}
+
 void nothing_new_to_a_server_that_drains() {  // also what waits for its connection
   PlatformConfig config = config_for_tests();
   config.journal = "127.0.0.1:8500";
@@ -478,6 +585,11 @@
   a_success_that_crosses_the_cancel_is_released();
   after_a_reset_the_release_is_awaited();
   a_full_server_sends_the_call_elsewhere_at_once();
+  a_further_attempt_at_the_same_server_is_answered();
+  the_end_of_a_call_may_come_on_the_connection_of_an_earlier_attempt();
+  a_spoilt_answer_ends_its_connection();
+  an_answer_that_was_lost_shows_in_the_release();
+  a_connection_that_is_not_told_what_others_are_is_closed();
   nothing_new_to_a_server_that_drains();
   a_journal_that_moves_is_asked_for_what_is_new();
   a_lost_connection_gives_up_its_set_ups_only();
