Close callers' connections that say nothing, are cut short or idle longest; refuse bad figures

Seen: with bad clients descriptors stood at 344 of 384, the runtime's cap; whoever came then was turned away, usual callers too. 70 of 431 requests of bad clients that came to setup servers had dest 99, -3 or a converted NaN, or a width of 0 or 400 (logged at each 500 of a server); the rest look right and only the server can tell. Now: front/keeper, for both fronts: 2.2 s for a first message and for each that has begun, one idle longest closed for room, 15 s idle in the platform's. dest and width are checked before they are converted; P-Load's figures too. Closing shuts down and reads on for 0.7 s or 256 KiB at most, so a refusal is not lost to a reset. One bound (4 MiB) for all that is not written. Rings give memory back; releases not heard are forgotten after 8 s. Warnings of a kind come once a second. SIP's transactions and merged requests are bounded.

--- a/src/app/gatekeeper.cpp
+++ b/src/app/gatekeeper.cpp
@@ -19,12 +19,27 @@
   using Fs::operator()...;
 };
 
+// Some descriptors are the program's own and the setup servers'.
+std::size_t most_callers(const PlatformConfig& config) {
+  return config.sockets > 128 ? config.sockets - 96 : config.sockets / 3 + 1;
+}
+
+front::PlatformFrontSettings platform_settings(const PlatformConfig& config) {
+  front::PlatformFrontSettings s;
+  s.class_names = config.class_names;
+  for (const CallClass& c : config.settings.classes) s.open_pools.push_back(c.open_pools);
+  s.open_pools.resize(s.class_names.size());
+  s.most_connections = most_callers(config);
+  return s;
+}
+
 front::SipFrontSettings sip_settings(const PlatformConfig& config, const DeployConfig& deploy) {
   front::SipFrontSettings s;
   s.udp = deploy.sip_udp;
   s.tcp = deploy.sip_tcp;
   s.class_names = config.class_names;
   s.seed = config.seed;
+  s.most_connections = most_callers(config) / 2;
   const auto& classes = config.settings.classes;
   for (const CallClass& c : classes) s.patience.push_back(c.patience);
   const auto by_worth = [](const CallClass& a, const CallClass& b) { return a.worth < b.worth; };
@@ -47,7 +62,7 @@
       deploy_(deploy),
       more_counters_(std::move(more_counters)),
       broker_(config.settings, config.seed, core::Contracts(deploy.contracts), counters_),
-      platform_(config.class_names, counters_),
+      platform_(platform_settings(config), counters_),
       sip_(sip_settings(config, deploy), counters_),
       servers_(config.settings, config.areas, counters_),
       journal_(config.journal, config.known_position, counters_),
@@ -97,6 +112,8 @@
                  [&](const auto& e) {  // to the caller, by the front that it came by
                    if (core::front_of(e.call) == core::Front::sip) {
                      sip_.apply(now, e, out);
+                   } else if constexpr (std::is_same_v<std::decay_t<decltype(e)>, core::ReleaseCaller>) {
+                     platform_.apply(now, e, out);
                    } else {
                      platform_.apply(e, out);
                    }
@@ -130,7 +147,8 @@
     take_list(now, list, kind, out);
   }
   journal_.start(now, out);
-  sip_.start(out);
+  platform_.start(now, out);
+  sip_.start(now, out);
   exporter_.start(now, out);
   out.log(net::Level::info, config_.name + " listens on " + config_.listen);
 }
@@ -161,7 +179,7 @@
   if (e.conn.concern == net::Concern::platform) platform_.on(now, e, out);
   if (e.conn.concern == net::Concern::server) {
     for (const back::StrayRelease& stray : servers_.on(now, e, out))
-      platform_.pass_on_release(stray.label, stray.cause, out);
+      platform_.pass_on_release(now, stray.label, stray.cause, out);
   }
   if (e.conn.concern == net::Concern::journal) {
     for (const HostList& list : journal_.on(now, e, out))
@@ -188,6 +206,7 @@
 
 void Gatekeeper::on(Time now, const net::TimerFired& e, Outbox& out) {
   if (e.key.concern == net::Concern::broker) out.tell(core::TimerRang{e.key.number});
+  if (e.key.concern == net::Concern::platform) platform_.on(now, e, out);
   if (e.key.concern == net::Concern::server) servers_.on(now, e, out);
   if (e.key.concern == net::Concern::journal) journal_.on(now, e, out);
   if (e.key.concern == net::Concern::sip) sip_.on(now, e, out);
--- a/src/app/outbox.h
+++ b/src/app/outbox.h
@@ -23,4 +23,23 @@
   void tell(core::Event event) { core.push_back(std::move(event)); }
 };
 
+// Warnings of one kind, one a second at most: a flood of bad input must not become a flood of lines.
+class SeldomWarning {
+ public:
+  void line(Time now, std::string text, Outbox& out) {
+    if (now < next_) {
+      ++left_out_;
+      return;
+    }
+    next_ = now + std::chrono::seconds(1);
+    if (left_out_ > 0)
+      text += " (" + std::to_string(std::exchange(left_out_, 0)) + " more since the last line)";
+    out.log(net::Level::warning, std::move(text));
+  }
+
+ private:
+  Time next_{};
+  std::uint64_t left_out_ = 0;
+};
+
 }  // namespace graniterun
--- a/src/back/setup_servers.cpp
+++ b/src/back/setup_servers.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <cmath>
 
 #include "wire.h"
 
@@ -90,6 +91,11 @@
   return true;
 }
 
+// Text that callers are told unchanged, and that has not eaten the message after it.
+bool can_be_passed_on(std::string_view description) {
+  return is_utf8(description) && description.find("SIP/2.0\r\n") == std::string_view::npos;
+}
+
 FullReason reason_of(std::string_view word) {
   if (word == "all_trunks_busy") return FullReason::no_line;
   if (word == "via_said_no" || word == "far_cpu_full") return FullReason::returned;
@@ -109,7 +115,9 @@
     const std::string_view text = sip::trim(piece.substr(colon + 1));
     double figure = 0;
     const auto [stop, error] = std::from_chars(text.data(), text.data() + text.size(), figure);
-    if (error == std::errc{} && stop == text.data() + text.size())
+    // What is not a number, or none of a load, is left out: it would be converted to a time.
+    const bool sound = std::isfinite(figure) && std::abs(figure) <= 1e7;
+    if (error == std::errc{} && stop == text.data() + text.size() && sound)
       wire::note_value(report, sip::trim(piece.substr(0, colon)), figure);
   }
   return report;
@@ -275,6 +283,12 @@
   }
 }
 
+void SetupServers::refused(Time now, std::uint32_t conn, const std::string& trouble, Outbox& out) {
+  counters_.add("servers.malformed");
+  refused_.line(now, "a setup server's message is refused: " + trouble, out);
+  spoilt(now, conn, out);
+}
+
 void SetupServers::spoilt(Time now, std::uint32_t conn, Outbox& out) {
   const auto it = connections_.find(conn);
   Server* server = it == connections_.end() ? nullptr : find(it->second.server);
@@ -470,29 +484,26 @@
     if (std::string trouble = trouble_with(read); !trouble.empty()) {
       // Whatever is spoilt, nothing more comes on that connection: kept in use where the next message could
       // have been found, it once took set-ups for seconds that were never answered.
-      counters_.add("servers.malformed");
-      out.log(net::Level::warning, "a setup server's message is refused: " + trouble);
-      spoilt(now, e.conn.number, out);
+      refused(now, e.conn.number, trouble, out);
       return strays;
     }
     if (read.message.is_request()) {
       requested(now, e.conn.number, read.message, out, strays);
     } else {
       answered(now, e.conn.number, read.message, out);
+      if (!connections_.contains(e.conn.number)) return strays;
     }
   }
   out.net.push_back(net::Consume{e.conn, used});
   return strays;
 }
 
-// What makes a message one that can't be read, or can't be passed on unchanged.
+// What makes a message one that can't be read.
 std::string SetupServers::trouble_with(const sip::ReadResult& read) {
   if (read.state == sip::ReadState::malformed) return read.trouble;
   const sip::Message& m = read.message;
   if (!m.is_request() && !sip::cseq_of(m)) return "an answer has no CSeq";
   if (!m.is_request() && m.header("Call-ID").empty()) return "an answer has no Call-ID";
-  if (m.body.find("SIP/2.0\r\n") != std::string::npos) return "a body holds the next message";
-  if (!is_utf8(m.body)) return "a description is not text";
   return {};
 }
 
@@ -528,6 +539,12 @@
     return;
   }
   Leg& leg = it->second;
+  // Only what is to be passed on is looked at so closely: an answer under an unknown id may hold anything,
+  // and its connection is good.
+  if (m.status < 300 && leg.state == LegState::sent && !can_be_passed_on(m.body)) {
+    refused(now, conn, "a description is not text", out);
+    return;
+  }
   const int cseq_number = leg.attempt + 1;
   send(leg, request("ACK", leg.request->number_text, leg.request->label, cseq_number), out);
   core::AttemptOver ended;
--- a/src/back/setup_servers.h
+++ b/src/back/setup_servers.h
@@ -89,6 +89,7 @@
   void over(Legs::iterator leg, core::AttemptOver over, Outbox& out);
   void end_calls(Server& server, std::optional<Time> stood_before, Outbox& out);
   void let_go(std::uint32_t conn, bool closed, Outbox& out);
+  void refused(Time now, std::uint32_t conn, const std::string& trouble, Outbox& out);
   void spoilt(Time now, std::uint32_t conn, Outbox& out);
   void note_told(Time now, std::uint32_t conn, Outbox& out);
   static std::string trouble_with(const sip::ReadResult& read);
@@ -99,6 +100,7 @@
   Duration connect_within_;
   Directory directory_;
   Counters& counters_;
+  SeldomWarning refused_;
   std::map<ServerId, Server> servers_;
   std::map<std::uint32_t, Connection> connections_;
   Legs legs_;
--- /dev/null
+++ b/src/front/keeper.h
@@ -0,0 +1,67 @@
+// Which of a front's connections are to go: those that say nothing, or nothing whole, and the one idle
+// longest where there are too many. Callers must find room whoever else keeps connections open.
+#pragma once
+
+#include <chrono>
+#include <cstddef>
+#include <map>
+#include <optional>
+#include <vector>
+
+#include "net/events.h"
+
+namespace graniterun::front {
+
+class Keeper {
+ public:
+  // `idle`: a connection on which nothing is open is closed after so long without a word; none: it is kept.
+  Keeper(std::size_t most, std::optional<Duration> idle) : most_(most), idle_(idle) {}
+
+  void accepted(Time now, net::ConnId conn) { open_[conn] = {now, now}; }
+  void closed(net::ConnId conn) { open_.erase(conn); }
+  // Something came in; `whole`: a message among it; `half`: one that has begun and is not whole is left.
+  void heard(Time now, net::ConnId conn, bool whole, bool half) {
+    const auto it = open_.find(conn);
+    if (it == open_.end()) return;
+    if (whole) {
+      it->second.waits_since.reset();
+      it->second.active = now;
+    }
+    if (half && !it->second.waits_since) it->second.waits_since = now;
+  }
+  // Where there are too many, the one to close. `busy` tells whether something is open on a connection.
+  template <class Busy>
+  std::optional<net::ConnId> too_many(Busy busy) const {
+    if (open_.size() <= most_) return std::nullopt;
+    auto idlest = open_.end();
+    for (auto it = open_.begin(); it != open_.end(); ++it) {
+      if ((idlest == open_.end() || it->second.active < idlest->second.active) && !busy(it->first))
+        idlest = it;
+    }
+    // All are busy: the newest has to go.
+    return idlest == open_.end() ? std::prev(open_.end())->first : idlest->first;
+  }
+  template <class Busy>
+  std::vector<net::ConnId> due(Time now, Busy busy) const {
+    std::vector<net::ConnId> all;
+    for (const auto& [conn, c] : open_) {
+      const bool stuck = c.waits_since && now - *c.waits_since > kWholeWithin;
+      if (stuck || (idle_ && now - c.active > *idle_ && !busy(conn))) all.push_back(conn);
+    }
+    return all;
+  }
+
+ private:
+  // A first message, and each that has begun, is whole within so long: who sends none is owed a close within
+  // 3 s.
+  static constexpr Duration kWholeWithin = std::chrono::milliseconds(2200);
+  struct Open {
+    std::optional<Time> waits_since;  // for the message to be whole
+    Time active{};                    // when the last whole message came
+  };
+  std::size_t most_;
+  std::optional<Duration> idle_;
+  std::map<net::ConnId, Open> open_;
+};
+
+}  // namespace graniterun::front
--- a/src/front/platform.cpp
+++ b/src/front/platform.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <cmath>
 
 namespace graniterun::front {
 namespace {
@@ -12,7 +13,12 @@
 constexpr int kTemporaryFailure = 41;
 constexpr int kCongestion = 42;
 constexpr int kInvalid = 95;
+constexpr double kMostPool = 1e9;
+constexpr double kMostWidth = 64;
 constexpr std::size_t kMostHomeless = 4096;
+constexpr Duration kLook = std::chrono::milliseconds(200);
+// So long a release is told again where its connection closes before it was heard.
+constexpr Duration kToldFor = std::chrono::seconds(8);
 
 int cause_of(bool refused, core::Why why) {
   if (refused) return kCongestion;
@@ -44,37 +50,66 @@
 
 }  // namespace
 
-void Platform::on(Time, const net::Accepted& e, Outbox& out) {
+void Platform::start(Time now, Outbox& out) const { out.arm(net::Concern::platform, 0, now + kLook); }
+
+void Platform::on(Time now, const net::Accepted& e, Outbox& out) {
   counters_.add("platform.connections");
   connections_.try_emplace(e.conn);
-  for (auto& [id, line] : std::exchange(homeless_, {})) tell(e.conn, id, std::move(line), out);
+  keeper_.accepted(now, e.conn);
+  for (auto& [id, line] : std::exchange(homeless_, {})) tell(now, e.conn, id, std::move(line), out);
+  // Connections kept for nothing once filled the limit, and usual callers were turned away.
+  if (const auto conn = keeper_.too_many([this](net::ConnId c) { return is_busy(c); })) {
+    counters_.add("platform.closed_for_room");
+    close(now, *conn, out);
+  }
+}
+
+void Platform::on(Time now, const net::TimerFired&, Outbox& out) {
+  out.arm(net::Concern::platform, 0, now + kLook);
+  for (const net::ConnId conn : keeper_.due(now, [this](net::ConnId c) { return is_busy(c); })) {
+    counters_.add("platform.closed_idle");
+    close(now, conn, out);
+  }
+  for (auto& [conn, c] : connections_)
+    std::erase_if(c.told, [now](const auto& told) { return now - told.second.at > kToldFor; });
+}
+
+void Platform::close(Time now, net::ConnId conn, Outbox& out) {
+  out.close(conn);
+  on(now, net::Closed{conn, false}, out);
+}
+
+bool Platform::is_busy(net::ConnId conn) const {
+  const auto it = connections_.find(conn);
+  return it != connections_.end() && !it->second.waiting.empty();
 }
 
 void Platform::on(Time now, const net::Received& e, Outbox& out) {
   std::size_t used = 0;
+  bool whole = false;
   while (used < e.bytes.size()) {
     const jsonl::ReadResult read = jsonl::read(e.bytes.substr(used));
     if (read.state == jsonl::ReadState::more && read.used == 0) break;
     used += read.used;
     if (read.state == jsonl::ReadState::more) break;
+    whole = true;
     if (read.state == jsonl::ReadState::message) {
       take(now, e.conn, read.message, out);
       continue;
     }
-    refuse_malformed(e.conn, read.message.id, read.trouble, out);
+    refuse_malformed(now, e.conn, read.message.id, read.trouble, out);
     if (read.lost || read.message.id.empty()) {
-      out.close(e.conn);
-      on(now, net::Closed{e.conn, false}, out);
-      return;
+      return close(now, e.conn, out);
     }
   }
+  keeper_.heard(now, e.conn, whole, used < e.bytes.size());
   out.net.push_back(net::Consume{e.conn, used});
 }
 
-void Platform::refuse_malformed(net::ConnId conn, const std::string& id, const std::string& trouble,
+void Platform::refuse_malformed(Time now, net::ConnId conn, const std::string& id, const std::string& trouble,
                                 Outbox& out) {
   counters_.add("platform.malformed");
-  out.log(net::Level::warning, "a caller's line is refused: " + trouble);
+  refused_.line(now, "a caller's line is refused: " + trouble, out);
   if (id.empty()) return;
   // A refusal ends what the connection itself has open under the id, or a second answer would follow it.
   // Calls of others under that id are not touched.
@@ -98,7 +133,7 @@
     if (it == by_id_.end()) return;
     // What stands may be released on any connection; a set-up is given up on its own.
     if (open && calls_.at(it->second).conn != conn)
-      return refuse_malformed(conn, m.id, "the id is that of another open call", out);
+      return refuse_malformed(now, conn, m.id, "the id is that of another open call", out);
     end_by_caller(it->second, m.cause.value_or(kNormal), out);
   } else if (m.type == "released") {
     counters_.add("platform.released_in");
@@ -118,7 +153,7 @@
     // same call: on its own connection it needs no second answer, on another it crossed a close.
     const bool same = call.set_up == identity_of(m);
     if (!same || (call.stands && !own))
-      return refuse_malformed(conn, m.id, "the id is that of another open call", out);
+      return refuse_malformed(now, conn, m.id, "the id is that of another open call", out);
     if (!own) {
       if (const auto old = connections_.find(call.conn); old != connections_.end())
         old->second.waiting.erase(it->second);
@@ -129,7 +164,7 @@
   }
   core::Request request;
   const std::string trouble = read_request(now, m, request);
-  if (!trouble.empty()) return refuse_malformed(conn, m.id, trouble, out);
+  if (!trouble.empty()) return refuse_malformed(now, conn, m.id, trouble, out);
   request.call = core::call_id(core::Front::platform, ++last_);
   calls_.emplace(request.call, Call{m.id, conn, identity_of(m)});
   by_id_.emplace(m.id, request.call);
@@ -138,9 +173,9 @@
 }
 
 std::string Platform::read_request(Time now, const jsonl::Message& m, core::Request& r) const {
-  const auto name = std::find(class_names_.begin(), class_names_.end(), m.field("class"));
-  if (name == class_names_.end()) return "the class is not one of the settings";
-  r.call_class = static_cast<ClassIndex>(name - class_names_.begin());
+  const auto name = std::find(settings_.class_names.begin(), settings_.class_names.end(), m.field("class"));
+  if (name == settings_.class_names.end()) return "the class is not one of the settings";
+  r.call_class = static_cast<ClassIndex>(name - settings_.class_names.begin());
   r.class_name = *name;
   const auto left = number<double>(m.field("left"));
   if (!left || !(*left >= 0.0) || *left > 1e8) return "'left' is not a time in milliseconds";
@@ -161,14 +196,26 @@
     const auto value =
         colon == std::string_view::npos ? std::optional<double>{} : number<double>(piece.substr(colon + 1));
     if (!value) return "'extras' is not name:number pairs";
-    if (word == "dest") r.destination = Pool{static_cast<std::int64_t>(*value)};
-    if (word == "width") r.lines = *value;
+    // Checked before it is converted: what no whole number can hold once became some other destination.
+    const bool whole = std::floor(*value) == *value && std::abs(*value) <= kMostPool;
+    if (word == "dest") {
+      if (!whole) return "'dest' is not a whole number";
+      r.destination = Pool{static_cast<std::int64_t>(*value)};
+      const auto& open = settings_.open_pools[r.call_class];
+      if (*value < -1 || (*value >= 0 && open && std::ranges::find(*open, r.destination) == open->end()))
+        return "'dest' is no pool of the class";
+    }
+    if (word == "width") {
+      if (!whole || *value < 1 || *value > kMostWidth) return "'width' is not from 1 to 64";
+      r.lines = *value;
+    }
     if (word == "again") r.cut_before = *value != 0.0;
   }
   return {};
 }
 
-void Platform::on(Time, const net::Closed& e, Outbox& out) {
+void Platform::on(Time now, const net::Closed& e, Outbox& out) {
+  keeper_.closed(e.conn);
   const auto it = connections_.find(e.conn);
   if (it == connections_.end()) return;
   const Connection gone = std::move(it->second);
@@ -178,7 +225,7 @@
     out.tell(core::CallerGaveUp{call});
   }
   // A release that was not heard on this connection is told on another one: calls belong to none.
-  for (const auto& [id, line] : gone.told) tell(e.conn, id, line, out);
+  for (const auto& [id, told] : gone.told) tell(now, e.conn, id, told.line, out);
 }
 
 // ---- the broker's effects
@@ -207,22 +254,22 @@
   forget(e.call);
 }
 
-void Platform::apply(const core::ReleaseCaller& e, Outbox& out) {
+void Platform::apply(Time now, const core::ReleaseCaller& e, Outbox& out) {
   const auto it = calls_.find(e.call);
   if (it == calls_.end()) return;
   counters_.add("platform.releases_out");
   const Call call = it->second;
   forget(e.call);
-  tell(call.conn, call.id, message("release", call.id, e.cause).text(), out);
+  tell(now, call.conn, call.id, message("release", call.id, e.cause).text(), out);
 }
 
-void Platform::pass_on_release(const std::string& label, int cause, Outbox& out) {
+void Platform::pass_on_release(Time now, const std::string& label, int cause, Outbox& out) {
   counters_.add("platform.releases_passed_on");
-  tell({}, label, message("release", label, cause).text(), out);
+  tell(now, {}, label, message("release", label, cause).text(), out);
 }
 
 // What ends a call may go to the callers on any connection: on its own, else another, else the next.
-void Platform::tell(net::ConnId preferred, const std::string& id, std::string line, Outbox& out) {
+void Platform::tell(Time now, net::ConnId preferred, const std::string& id, std::string line, Outbox& out) {
   auto it = connections_.find(preferred);
   if (it == connections_.end()) it = connections_.begin();
   if (it == connections_.end()) {
@@ -230,7 +277,7 @@
     return;
   }
   out.send(it->first, line);
-  it->second.told.insert_or_assign(id, std::move(line));
+  it->second.told.insert_or_assign(id, Told{std::move(line), now});
 }
 
 void Platform::end_by_caller(CallId call, int cause, Outbox& out) {
--- a/src/front/platform.h
+++ b/src/front/platform.h
@@ -11,26 +11,35 @@
 
 #include "app/outbox.h"
 #include "core/counters.h"
+#include "front/keeper.h"
 #include "proto/jsonl.h"
 
 namespace graniterun::front {
 
+struct PlatformFrontSettings {
+  std::vector<std::string> class_names{};
+  std::vector<std::optional<std::vector<Pool>>> open_pools{};  // of each class; absent: every pool
+  std::size_t most_connections{};
+};
+
 class Platform {
  public:
-  Platform(std::vector<std::string> class_names, Counters& counters)
-      : class_names_(std::move(class_names)), counters_(counters) {}
+  Platform(PlatformFrontSettings settings, Counters& counters)
+      : settings_(std::move(settings)), counters_(counters), keeper_(settings_.most_connections, kIdle) {}
 
+  void start(Time now, Outbox& out) const;
   void on(Time now, const net::Accepted& e, Outbox& out);
   void on(Time now, const net::Received& e, Outbox& out);
   void on(Time now, const net::Closed& e, Outbox& out);
+  void on(Time now, const net::TimerFired& e, Outbox& out);
   void ready(bool ready) { ready_ = ready; }
 
   void apply(const core::Serve& e, Outbox& out);
   void apply(const core::TurnDown& e, Outbox& out);
-  void apply(const core::ReleaseCaller& e, Outbox& out);
+  void apply(Time now, const core::ReleaseCaller& e, Outbox& out);
   // A server released a call that is not known here: it stood before a restart. Its caller may still be
   // there.
-  void pass_on_release(const std::string& label, int cause, Outbox& out);
+  void pass_on_release(Time now, const std::string& label, int cause, Outbox& out);
 
  private:
   struct Call {
@@ -39,21 +48,33 @@
     std::string set_up;  // what it asked for: tells one sent again from another under its id
     bool stands = false;
   };
+  struct Told {
+    std::string line;
+    Time at;
+  };
   struct Connection {
-    std::set<CallId> waiting;                 // set-ups without an answer
-    std::map<std::string, std::string> told;  // releases that were not heard yet, by id
+    std::set<CallId> waiting;          // set-ups without an answer
+    std::map<std::string, Told> told;  // releases that were not heard yet, by id
   };
+  // Callers close an idle connection after 4 s; one that keeps it for good is not waited for longer than
+  // this.
+  static constexpr Duration kIdle = std::chrono::seconds(15);
 
   void take(Time now, net::ConnId conn, const jsonl::Message& m, Outbox& out);
   void set_up(Time now, net::ConnId conn, const jsonl::Message& m, Outbox& out);
   std::string read_request(Time now, const jsonl::Message& m, core::Request& request) const;
-  void refuse_malformed(net::ConnId conn, const std::string& id, const std::string& trouble, Outbox& out);
-  void tell(net::ConnId preferred, const std::string& id, std::string line, Outbox& out);
+  void refuse_malformed(Time now, net::ConnId conn, const std::string& id, const std::string& trouble,
+                        Outbox& out);
+  void close(Time now, net::ConnId conn, Outbox& out);
+  bool is_busy(net::ConnId conn) const;
+  void tell(Time now, net::ConnId preferred, const std::string& id, std::string line, Outbox& out);
   void end_by_caller(CallId call, int cause, Outbox& out);
   void forget(CallId call);
 
-  std::vector<std::string> class_names_;
+  PlatformFrontSettings settings_;
   Counters& counters_;
+  Keeper keeper_;
+  SeldomWarning refused_;
   std::map<net::ConnId, Connection> connections_;
   std::unordered_map<CallId, Call> calls_;
   std::unordered_map<std::string, CallId> by_id_;
--- a/src/front/sip.cpp
+++ b/src/front/sip.cpp
@@ -13,6 +13,8 @@
 constexpr std::string_view kAllow = "INVITE, ACK, CANCEL, BYE, OPTIONS";
 constexpr std::size_t kMostCalls = 20000;
 constexpr Duration kNotReady = 2s;
+constexpr Duration kLook = 200ms;
+constexpr std::uint64_t kLookTimer = ~std::uint64_t{0} >> 2;  // apart from those of the transactions
 
 const char* const kOthersKnown[] = {"REGISTER", "SUBSCRIBE", "NOTIFY", "MESSAGE", "INFO",
                                     "PRACK",    "UPDATE",    "REFER",  "PUBLISH"};
@@ -96,27 +98,52 @@
 Sip::Sip(SipFrontSettings settings, Counters& counters)
     : settings_(std::move(settings)),
       counters_(counters),
+      keeper_(settings_.most_connections, std::nullopt),
       transport_(net::Concern::sip, counters),
       transactions_(net::Concern::sip, transport_, counters),
       words_(settings_.seed) {}
 
-void Sip::start(Outbox& out) const {
+void Sip::start(Time now, Outbox& out) const {
+  if (settings_.tcp) out.arm(net::Concern::sip, kLookTimer, now + kLook);
   if (settings_.udp) out.net.push_back(net::Bind{net::Concern::sip, *settings_.udp});
   if (settings_.tcp) out.net.push_back(net::Listen{net::Concern::sip, *settings_.tcp});
 }
 
 // ---- what comes in
 
-void Sip::on(Time, const net::Accepted& e, Outbox&) {
+void Sip::on(Time now, const net::Accepted& e, Outbox& out) {
   counters_.add("sip.connections");
   transport_.accepted(e.conn.number);
+  keeper_.accepted(now, e.conn);
+  make_room(now, out);
+}
+
+// Connections that say nothing, or nothing whole, or are too many: as in the platform's front.
+void Sip::make_room(Time now, Outbox& out) {
+  const auto busy = [this](net::ConnId conn) {
+    return std::any_of(calls_.begin(), calls_.end(), [conn](const auto& call) {
+      return call.second.dialog.flow.reliable && call.second.dialog.flow.conn == conn.number;
+    });
+  };
+  std::vector<net::ConnId> going = keeper_.due(now, busy);
+  if (const auto conn = keeper_.too_many(busy)) going.push_back(*conn);
+  for (const net::ConnId conn : going) {
+    counters_.add("sip.closed_for_room");
+    keeper_.closed(conn);
+    transport_.close(conn.number, out);
+  }
 }
 void Sip::on(Time, const net::Connected& e, Outbox& out) { transport_.connected(e.conn.number, out); }
 void Sip::on(Time, const net::ConnectFailed& e, Outbox&) { transport_.connect_failed(e.conn.number); }
-void Sip::on(Time, const net::Closed& e, Outbox&) { transport_.closed(e.conn.number); }
+void Sip::on(Time, const net::Closed& e, Outbox&) {
+  keeper_.closed(e.conn);
+  transport_.closed(e.conn.number);
+}
 
 void Sip::on(Time now, const net::Received& e, Outbox& out) {
-  for (sip::Incoming& incoming : transport_.received(e, out)) take(now, std::move(incoming), out);
+  std::vector<sip::Incoming> all = transport_.received(e, out);
+  keeper_.heard(now, e.conn, !all.empty(), transport_.half(e.conn.number));
+  for (sip::Incoming& incoming : all) take(now, std::move(incoming), out);
 }
 
 void Sip::on(Time now, const net::Datagram& e, Outbox& out) { take(now, transport_.datagram(e), out); }
@@ -131,7 +158,7 @@
       incoming.read.trouble = std::move(trouble);
     }
   }
-  if (incoming.read.state == sip::ReadState::malformed) return refuse_malformed(incoming, out);
+  if (incoming.read.state == sip::ReadState::malformed) return refuse_malformed(now, incoming, out);
   if (m.is_request()) {
     const sip::Flow flow = note_source(incoming.flow, m);
     return take_request(now, flow, m, out);
@@ -140,9 +167,9 @@
 }
 
 // 400 where the transaction can be read; else a stream is closed and a datagram dropped.
-void Sip::refuse_malformed(const sip::Incoming& incoming, Outbox& out) {
+void Sip::refuse_malformed(Time now, const sip::Incoming& incoming, Outbox& out) {
   counters_.add("sip.malformed");
-  out.log(net::Level::warning, "a SIP message is refused: " + incoming.read.trouble);
+  refused_.line(now, "a SIP message is refused: " + incoming.read.trouble, out);
   sip::Message m = incoming.read.message;
   const bool answerable = m.is_request() && !m.method.empty() && m.method != "ACK" &&
                           !m.header("Via").empty() && !m.header("Call-ID").empty() &&
@@ -153,8 +180,10 @@
     refusal.add("Warning", "399 graniterun \"" + incoming.read.trouble + "\"");
     transport_.send(flow, refusal.text(), out);
   }
-  if (incoming.flow.reliable && (incoming.read.lost || !answerable))
+  if (incoming.flow.reliable && (incoming.read.lost || !answerable)) {
+    keeper_.closed({net::Concern::sip, incoming.flow.conn});
     transport_.close(incoming.flow.conn, out);
+  }
 }
 
 void Sip::take_request(Time now, const sip::Flow& flow, const sip::Message& m, Outbox& out) {
@@ -209,7 +238,8 @@
 void Sip::invite(Time now, const std::string& key, const sip::Flow& flow, const sip::Message& m,
                  Outbox& out) {
   counters_.add("sip.invites");
-  while (!merged_order_.empty() && now - merged_order_.front().first > 2 * sip::k64T1) {
+  while (!merged_order_.empty() &&
+         (now - merged_order_.front().first > 2 * sip::k64T1 || merged_order_.size() >= kMostCalls)) {
     merged_.erase(merged_order_.front().second);
     merged_order_.pop_front();
   }
@@ -350,6 +380,10 @@
 }
 
 void Sip::on(Time now, const net::TimerFired& e, Outbox& out) {
+  if (e.key.number == kLookTimer) {
+    out.arm(net::Concern::sip, kLookTimer, now + kLook);
+    return make_room(now, out);
+  }
   for (const sip::Lapse& lapse : transactions_.fired(now, e.key.number, out)) {
     if (lapse.what != sip::Lapse::What::no_ack) continue;
     const auto it = by_invite_.find(lapse.key);
--- a/src/front/sip.h
+++ b/src/front/sip.h
@@ -13,6 +13,7 @@
 #include "config/config.h"
 #include "core/counters.h"
 #include "core/words.h"
+#include "front/keeper.h"
 #include "sip/transactions.h"
 
 namespace graniterun::front {
@@ -25,13 +26,14 @@
   std::size_t emergency_class{};     // for callers with Priority: emergency
   std::size_t default_class{};
   std::uint64_t seed{};
+  std::size_t most_connections{64};
 };
 
 class Sip {
  public:
   Sip(SipFrontSettings settings, Counters& counters);
 
-  void start(Outbox& out) const;
+  void start(Time now, Outbox& out) const;
   void on(Time now, const net::Accepted& e, Outbox& out);
   void on(Time now, const net::Connected& e, Outbox& out);
   void on(Time now, const net::ConnectFailed& e, Outbox& out);
@@ -76,7 +78,8 @@
   void bye(Time now, const std::string& key, const sip::Message& m, Outbox& out);
   void cancel(Time now, const std::string& key, const sip::Message& m, Outbox& out);
   void refuse(Time now, const std::string& key, int status, Outbox& out, std::string warning = {});
-  void refuse_malformed(const sip::Incoming& incoming, Outbox& out);
+  void refuse_malformed(Time now, const sip::Incoming& incoming, Outbox& out);
+  void make_room(Time now, Outbox& out);
   std::string read_request(Time now, const sip::Message& m, core::Request& request);
   sip::Message accept(const Call& call, const sip::Message& request) const;
   void send_bye(Time now, Call& call, int cause, Outbox& out);
@@ -90,6 +93,8 @@
 
   SipFrontSettings settings_;
   Counters& counters_;
+  Keeper keeper_;
+  SeldomWarning refused_;
   sip::Transport transport_;
   sip::Transactions transactions_;
   std::unordered_map<CallId, Call> calls_;
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -51,7 +51,7 @@
 
   net::RuntimeLimits limits;
   // Some descriptors are the program's own.
-  limits.connections = config.sockets > 64 ? config.sockets - 48 : config.sockets / 2;
+  limits.connections = config.sockets > 64 ? config.sockets - 32 : config.sockets / 2;
   net::Runtime runtime(limits, net::Logger(level_from(variable("GRANITERUN_LOG"))));
   Gatekeeper gatekeeper(config, deploy, [&runtime](Counters& all) {
     const net::RuntimeCounters& c = runtime.counters();
--- a/src/net/ring.h
+++ b/src/net/ring.h
@@ -15,6 +15,7 @@
   explicit Ring(std::size_t bound) : bound_(bound) {}
 
   std::size_t size() const { return size_; }
+  std::size_t held() const { return storage_.size(); }  // memory, used or not
   bool empty() const { return size_ == 0; }
   std::size_t room() const { return bound_ - size_; }
 
@@ -63,10 +64,12 @@
   void drop(std::size_t count) {
     count = std::min(count, size_);
     size_ -= count;
+    if (size_ == 0 && storage_.size() > kKept) std::vector<char>().swap(storage_);
     head_ = size_ == 0 || storage_.empty() ? 0 : (head_ + count) % storage_.size();
   }
 
  private:
+  static constexpr std::size_t kKept = 4096;  // an idle connection holds no more
   std::size_t bound_;
   std::vector<char> storage_;
   std::size_t head_ = 0;
--- a/src/net/runtime.cpp
+++ b/src/net/runtime.cpp
@@ -132,6 +132,9 @@
     Time connect_due{};
     bool connected = false;
     bool closing = false;
+    bool shut = false;  // all is written and said to be: what still comes is read and dropped
+    std::size_t dropped = 0;
+    ~Connection() { impl.outbound_ -= out.size(); }
   };
   struct Listener {
     Impl& impl;
@@ -284,20 +287,33 @@
 
   // The runtime's own timers stand under a concern's number with the top bit set.
   static constexpr std::uint64_t kConnectTimer = std::uint64_t{1} << 63;
+  static constexpr std::uint64_t kCloseTimer = kConnectTimer | std::uint64_t{1} << 62;
+  // So long a connection that is being closed may take to write what was sent and to hear the other side's
+  // end; closed at once with unread input, it would be reset, and the refusal just sent be lost.
+  static constexpr Duration kCloseWithin = std::chrono::milliseconds(700);
+  static constexpr std::size_t kMostDropped = 256 * 1024;
   static TimerKey connect_key(ConnId id) { return {id.concern, kConnectTimer | id.number}; }
 
   void carry_out(const Send& e) {
     const auto it = connections_.find(e.conn);
     if (it == connections_.end() || it->second->closing) return;
-    if (!it->second->out.put(e.bytes)) {
-      ++counters.overflowed;
-      logger_.line(Level::warning, "a connection is closed: its other side does not read");
-      broken_.push_back(e.conn);
-      return;
+    if (!it->second->out.put(e.bytes)) return overflowed(e.conn);
+    outbound_ += e.bytes.size();
+    if (outbound_ > limits_.outbound_all) {
+      const auto fullest = std::max_element(
+          connections_.begin(), connections_.end(),
+          [](const auto& a, const auto& b) { return a.second->out.size() < b.second->out.size(); });
+      overflowed(fullest->first);
     }
     dirty_.push_back(e.conn);
   }
 
+  void overflowed(ConnId id) {
+    ++counters.overflowed;
+    logger_.line(Level::warning, "a connection is closed: its other side does not read");
+    broken_.push_back(id);
+  }
+
   void carry_out(const SendDatagram& e) {
     const auto address = address_of(e.peer);
     for (const auto& listener : listeners_) {
@@ -323,6 +339,7 @@
       return;
     }
     it->second->closing = true;
+    arm(Timer{clock_now() + kCloseWithin, ++timer_order_, {e.conn.concern, kCloseTimer | e.conn.number}});
     it->second->reading.end();
     dirty_.push_back(e.conn);
   }
@@ -373,6 +390,12 @@
       const Time now = clock_now();
       if (timer.at > now) break;
       timers_.pop();
+      if ((timer.key.number & kCloseTimer) == kCloseTimer) {
+        const ConnId id{timer.key.concern, static_cast<std::uint32_t>(timer.key.number)};
+        if (const auto it = connections_.find(id); it != connections_.end() && it->second->closing)
+          connections_.erase(it);
+        continue;
+      }
       if ((timer.key.number & kConnectTimer) != 0) {
         connect_overdue({timer.key.concern, static_cast<std::uint32_t>(timer.key.number)}, timer.at);
         continue;
@@ -426,6 +449,7 @@
       if (sent > 0) {
         counters.bytes_out += static_cast<std::uint64_t>(sent);
         c.out.drop(static_cast<std::size_t>(sent));
+        outbound_ -= static_cast<std::size_t>(sent);
         continue;
       }
       const bool wait = g_error_matches(error, G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK);
@@ -438,17 +462,24 @@
       return;
     }
     c.writing.end();
-    if (c.closing) {
-      connections_.erase(it);
-    } else {
-      watch_reading(c);
+    if (c.closing && !c.shut) {
+      c.shut = true;
+      g_socket_shutdown(c.socket.get(), FALSE, TRUE, nullptr);
     }
+    watch_reading(c);
   }
 
   void read(ConnId id) {
     const auto it = connections_.find(id);
     if (it == connections_.end()) return;
     Connection& c = *it->second;
+    if (c.closing) {
+      char buffer[16384];
+      const gssize got = g_socket_receive(c.socket.get(), buffer, sizeof buffer, nullptr, nullptr);
+      if (got > 0) c.dropped += static_cast<std::size_t>(got);
+      if (got <= 0 || c.dropped > kMostDropped) connections_.erase(it);
+      return;
+    }
     if (c.in.room() == 0) return lose(id, true);  // the reducer leaves a whole ring unread: it is stuck
     c.in.reserve(std::min(c.in.size() + 4096, limits_.inbound));
     const std::span<char> gap = c.in.gap();
@@ -467,7 +498,11 @@
   }
 
   void lose(ConnId id, bool reset) {
-    if (connections_.erase(id) > 0) step(Closed{id, reset});
+    const auto it = connections_.find(id);
+    if (it == connections_.end()) return;
+    const bool known = !it->second->closing;  // else the reducer has closed it itself
+    connections_.erase(it);
+    if (known) step(Closed{id, reset});
   }
 
   void receive_datagrams(Listener& listener) {
@@ -494,6 +529,7 @@
   std::vector<std::unique_ptr<Listener>> listeners_;
   std::priority_queue<Timer, std::vector<Timer>, std::greater<>> timers_;
   std::uint64_t timer_order_ = 0;
+  std::size_t outbound_ = 0;  // bytes not written yet, on all connections
   std::uint32_t last_accepted_ = 0;
   std::vector<ConnId> dirty_;
   std::vector<ConnId> broken_;
--- a/src/net/runtime.h
+++ b/src/net/runtime.h
@@ -11,9 +11,10 @@
 namespace graniterun::net {
 
 struct RuntimeLimits {
-  std::size_t connections = 900;            // accepted ones beyond are closed at once
-  std::size_t inbound = 64 * 1024;          // bytes of a connection not consumed yet
-  std::size_t outbound = 512 * 1024;        // bytes of a connection not written yet; beyond: it is closed
+  std::size_t connections = 900;               // accepted ones beyond are closed at once
+  std::size_t inbound = 64 * 1024;             // bytes of a connection not consumed yet
+  std::size_t outbound = 512 * 1024;           // bytes of a connection not written yet; beyond: it is closed
+  std::size_t outbound_all = 4 * 1024 * 1024;  // of all connections together; beyond: the fullest is closed
   std::size_t outbound_pause = 128 * 1024;  // reading from the connection waits while so many are not written
   std::size_t accepted_from_each = 64;      // at one turn of the loop
 };
--- a/src/sip/transactions.cpp
+++ b/src/sip/transactions.cpp
@@ -5,6 +5,8 @@
 namespace graniterun::sip {
 namespace {
 
+constexpr std::size_t kMostServers = 20000;
+
 std::string_view top_via(const Message& m) {
   const std::string_view via = m.header("Via");
   return via.substr(0, via.find(','));
@@ -175,6 +177,10 @@
     if (!s.sent.empty() && s.state != State::confirmed) transport_.send(s.flow, s.sent, out);
     return Taken::absorbed;
   }
+  if (servers_.size() >= kMostServers) {  // dropped: it is sent again, or its caller goes elsewhere
+    counters_.add("sip.requests_dropped");
+    return Taken::absorbed;
+  }
   Server s;
   s.flow = flow;
   s.invite = request.method == "INVITE";
--- a/src/sip/transport.cpp
+++ b/src/sip/transport.cpp
@@ -44,6 +44,7 @@
 
 std::string Transport::closed(std::uint32_t conn) {
   open_.erase(conn);
+  half_.erase(conn);
   std::string peer;
   for (const auto& [address, dialled] : dialled_) {
     if (dialled.conn == conn) peer = address;
@@ -70,6 +71,11 @@
     messages.push_back(std::move(incoming));
     if (lost) return messages;  // the reader of the messages closes the connection
   }
+  if (used < e.bytes.size()) {
+    half_.insert(e.conn.number);
+  } else {
+    half_.erase(e.conn.number);
+  }
   out.net.push_back(net::Consume{e.conn, used});
   return messages;
 }
--- a/src/sip/transport.h
+++ b/src/sip/transport.h
@@ -40,6 +40,8 @@
 
   void send(const Flow& flow, std::string text, Outbox& out);
   void close(std::uint32_t conn, Outbox& out);
+  // A message has begun on the connection and is not whole.
+  bool half(std::uint32_t conn) const { return half_.contains(conn); }
   std::size_t open() const { return open_.size(); }
 
  private:
@@ -51,6 +53,7 @@
   net::Concern concern_;
   Counters& counters_;
   std::set<std::uint32_t> open_;
+  std::set<std::uint32_t> half_;
   std::map<std::string, Dialled> dialled_;  // by peer
   std::uint32_t last_dialled_ = 0;
 };
--- a/tests/integration_test.cpp
+++ b/tests/integration_test.cpp
@@ -92,6 +92,11 @@
   CHECK(took >= std::chrono::milliseconds(290) && took < std::chrono::milliseconds(2000));
   CHECK_EQ(world.from_server().method, "CANCEL");
 
+  // What is refused hears of it though it has sent more than is read: a reset took the refusal away.
+  Socket endless = Socket::connected(world.port);
+  endless.send(R"({"type":"setup","id":"00000000000000dd","x":")" + std::string(150'000, 'x'));
+  CHECK_EQ(json::parse(endless.line())["id"], "00000000000000dd");
+  CHECK(endless.ends());
   // Bad input closes its own connection only.
   Socket other = Socket::connected(world.port);
   other.send("what?\n");
@@ -109,7 +114,7 @@
   const std::string log = world.program->log();
   const std::size_t asked = log.find("broker.served 1\n");  // on request, and at the end
   CHECK(asked != std::string::npos && log.find("broker.served 1\n", asked + 1) != std::string::npos);
-  CHECK(log.find("platform.malformed 1\n") != std::string::npos);
+  CHECK(log.find("platform.malformed 2\n") != std::string::npos);
 }
 
 std::string sip_request(const std::string& method, const std::string& transport, int port, int cseq,
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -201,6 +201,20 @@
   }
 }
 
+// A second copy, or an answer under an unknown id, whatever it holds: what is good beside it is used.
+void more_than_belongs_to_an_answer_is_passed_over() {
+  Ready lab;
+  lab.receive(kCaller, set_up());
+  const sip::Message invite = lab.invite(lab.s0);
+  sip::Message unknown = invite;
+  unknown.set("Call-ID", "00000000000000ff");
+  const std::string good = server_answer(invite, 200, "a");
+  lab.receive(lab.s0, server_answer(unknown, 200, "\xff\xfe") + good + good);
+  CHECK_EQ(lab.line().type, "answer");
+  lab.pass(500ms);
+  CHECK(lab.closed.empty() && lab.lines(kCaller).empty());
+}
+
 void an_answer_that_was_lost_shows_in_the_release() {  // it went unheard, and the caller was never told
   Ready lab;
   lab.receive(kCaller, set_up(kId, 3000));
@@ -438,6 +452,62 @@
   CHECK(lab.lines(kCaller).empty());
 }
 
+bool is_closed(const Lab& lab, ConnId conn) {
+  return std::find(lab.closed.begin(), lab.closed.end(), conn) != lab.closed.end();
+}
+
+// Nothing closed them: callers that say nothing, or never end what they begin, filled the connections.
+void who_sends_nothing_whole_is_closed_within_three_seconds() {
+  Ready lab;
+  const ConnId silent{Concern::platform, 2};
+  const ConnId half{Concern::platform, 3};
+  const ConnId keeps{Concern::platform, 4};
+  for (const ConnId conn : {silent, half, keeps}) lab.tell(net::Accepted{conn});
+  lab.receive(kCaller, set_up(kId, 30'000));
+  lab.receive(keeps, R"({"type":"ping","id":"00000000000000ee","fields":{},"cause":0})"
+                     "\n");
+  for (int i = 0; i < 28; ++i) {  // byte by byte
+    lab.pass(100ms);
+    if (!is_closed(lab, half)) lab.receive(half, "{");
+  }
+  CHECK(is_closed(lab, silent) && is_closed(lab, half));
+  CHECK(!is_closed(lab, keeps) && !is_closed(lab, kCaller));
+  lab.pass(15s);
+  CHECK(is_closed(lab, keeps) && !is_closed(lab, kCaller));  // a set-up is open there
+}
+
+void there_is_room_for_callers_whoever_keeps_connections() {  // new ones were turned away
+  PlatformConfig config = config_for_tests();
+  config.sockets = 90;
+  Lab lab(config);
+  const std::string ping = R"({"type":"ping","id":"00000000000000ee","fields":{},"cause":0})"
+                           "\n";
+  lab.tell(net::Accepted{kCaller});
+  lab.receive(kCaller, set_up());
+  for (std::uint32_t i = 2; i <= 100; ++i) {
+    lab.tell(net::Accepted{{Concern::platform, i}});
+    lab.receive({Concern::platform, i}, ping);
+    CHECK(!is_closed(lab, {Concern::platform, i}));
+    lab.pass(1ms);
+  }
+  CHECK_EQ(lab.closed.size(), 100U - 31U);
+  CHECK(!is_closed(lab, kCaller));
+}
+
+void figures_out_of_range_are_refused() {  // they reached the module, and servers spent work on them
+  Ready lab;
+  for (const std::string extras :
+       {"dest:nan", "dest:1e300", "dest:-3", "dest:0.5", "dest:0;width:nan", "dest:0;width:-1",
+        "dest:0;width:0", "dest:0;width:400", "dest:0;width:inf", "dest:"}) {
+    std::string line = set_up();
+    const std::string usual = "dest:0;width:1;via:-1";
+    line.replace(line.find(usual), usual.size(), extras);
+    lab.receive(kCaller, line);
+    CHECK_EQ(lab.line().type, "release");
+  }
+  CHECK(lab.messages(lab.s0).empty() && lab.messages(lab.s1).empty());
+}
+
 void a_ping_passes_when_ready() {
   Lab lab;
   lab.tell(net::Accepted{kCaller});
@@ -588,6 +658,7 @@
   a_further_attempt_at_the_same_server_is_answered();
   the_end_of_a_call_may_come_on_the_connection_of_an_earlier_attempt();
   a_spoilt_answer_ends_its_connection();
+  more_than_belongs_to_an_answer_is_passed_over();
   an_answer_that_was_lost_shows_in_the_release();
   a_connection_that_is_not_told_what_others_are_is_closed();
   nothing_new_to_a_server_that_drains();
@@ -601,6 +672,9 @@
   an_id_that_is_open_belongs_to_its_caller();
   a_set_up_that_crossed_a_close_is_answered_on_its_new_connection();
   two_calls_under_one_id_on_one_connection_are_both_refused();
+  who_sends_nothing_whole_is_closed_within_three_seconds();
+  there_is_room_for_callers_whoever_keeps_connections();
+  figures_out_of_range_are_refused();
   a_ping_passes_when_ready();
   a_stop_lets_open_requests_finish();
   random_steps_keep_the_rules();
--- a/tests/sip_test.cpp
+++ b/tests/sip_test.cpp
@@ -428,7 +428,33 @@
 
 }  // namespace
 
+// As in the platform's front: what never ends, or says nothing, is closed; where a body does not fit, too.
+void streams_that_are_not_whole_are_closed() {
+  SipLab lab;
+  const auto is_closed = [&](ConnId conn) {
+    return std::find(lab.closed.begin(), lab.closed.end(), conn) != lab.closed.end();
+  };
+  const ConnId silent{Concern::sip, 1};
+  const ConnId half{Concern::sip, 2};
+  const ConnId unfit{Concern::sip, 3};
+  const ConnId good{Concern::sip, 4};
+  for (const ConnId conn : {silent, half, unfit, good}) lab.tell(net::Accepted{conn});
+  Caller caller;
+  caller.transport = "TCP";
+  const std::string options = caller.text("OPTIONS", 1);
+  lab.receive(good, options);
+  CHECK_EQ(lab.messages(good).at(0).status, 200);
+  lab.receive(unfit, options + "8 101");
+  CHECK(is_closed(unfit));
+  for (const char c : options.substr(0, 25)) {
+    lab.pass(100ms);
+    if (!is_closed(half)) lab.receive(half, std::string(1, c));
+  }
+  CHECK(is_closed(silent) && is_closed(half) && !is_closed(good));
+}
+
 int main() {
+  streams_that_are_not_whole_are_closed();
   a_call_over_udp_stands_and_the_server_ends_it();
   the_caller_ends_a_call();
   a_lost_ack_has_the_answer_sent_again();
--- a/tests/stand_in.h
+++ b/tests/stand_in.h
@@ -14,6 +14,7 @@
 #include <chrono>
 #include <fstream>
 #include <string>
+#include <utility>
 
 #include "check.h"
 
