--- a/src/app/gatekeeper.cpp
+++ b/src/app/gatekeeper.cpp
@@ -104,6 +104,7 @@
                  [&](const core::StartAttempt& e) { to_servers(e); },
                  [&](const core::AbandonAttempt& e) { to_servers(e); },
                  [&](const core::ReleaseServer& e) { to_servers(e); },
+                 [&](const core::PassOnRelease& e) { platform_.apply(now, e, out); },
                  [&](const core::SetAlarm& e) { out.arm(net::Concern::broker, e.timer, e.at); },
                  [&](const core::Note& e) { out.log(net::Level::info, e.text); },
                  [&](const core::RequestAnswered& e) {
@@ -177,10 +178,7 @@
 
 void Gatekeeper::on(Time now, const net::Received& e, Outbox& out) {
   if (e.conn.concern == net::Concern::platform) platform_.on(now, e, out);
-  if (e.conn.concern == net::Concern::server) {
-    for (const back::StrayRelease& stray : servers_.on(now, e, out))
-      platform_.pass_on_release(now, stray.label, stray.cause, out);
-  }
+  if (e.conn.concern == net::Concern::server) servers_.on(now, e, out);
   if (e.conn.concern == net::Concern::journal) {
     for (const HostList& list : journal_.on(now, e, out))
       take_list(now, list, list.whole ? ListKind::all : ListKind::changes, out);
--- a/src/back/setup_servers.cpp
+++ b/src/back/setup_servers.cpp
@@ -187,7 +187,7 @@
   const std::uint32_t number = ++last_connection_;
   server.connecting = number;
   server.next_connect = now + kReconnectPause;
-  connections_[number] = {server.id, false, now, {}, {}};
+  connections_[number] = {server.id, false, now, {}, {}, {}};
   counters_.add("servers.connects");
   out.net.push_back(net::Connect{{net::Concern::server, number}, server.host.address, connect_within_});
 }
@@ -199,7 +199,7 @@
   it->second.heard = now;
   Server* server = find(it->second.server);
   if (server == nullptr || server->host.state == ServerState::terminated)
-    return let_go(e.conn.number, false, out);
+    return let_go(now, e.conn.number, false, out);
   if (server->unreachable_since || server->lost_at)
     out.log(net::Level::info, "setup server " + server->host.uid + " can be reached again");
   server->tried = true;
@@ -208,9 +208,7 @@
   server->unreachable_since.reset();
   server->lost_at.reset();
   server->heard = now;
-  for (auto& [key, leg] : legs_) {
-    if (leg.server == server->id && leg.state == LegState::queued) send_invite(now, *server, leg, out);
-  }
+  for (const LegKey& key : std::set<LegKey>(server->queued)) send_invite(now, *server, legs_.at(key), out);
 }
 
 void SetupServers::on(Time now, const net::ConnectFailed& e, Outbox& out) {
@@ -231,17 +229,14 @@
     counters_.add("servers.connections_dead");
     out.log(net::Level::info, "setup server " + server->host.uid +
                                   " is silent and takes no connection: its set-ups are given up");
-    let_go(*server->current, false, out);
-  }
-  for (auto leg = legs_.begin(); leg != legs_.end();) {
-    const auto next = std::next(leg);
-    if (leg->second.server == server->id && leg->second.state == LegState::queued) {
-      core::AttemptOver ended;
-      ended.outcome = Outcome::no_connection;
-      over(leg, ended, out);
-      legs_.erase(leg);
-    }
-    leg = next;
+    let_go(now, *server->current, false, out);
+  }
+  for (const LegKey& key : std::set<LegKey>(server->queued)) {
+    const auto leg = legs_.find(key);
+    core::AttemptOver ended;
+    ended.outcome = Outcome::no_connection;
+    over(leg->second, ended, out);
+    erase(leg);
   }
 }
 
@@ -250,7 +245,7 @@
   if (it == connections_.end()) return;
   counters_.add("servers.connections_lost");
   Server* server = find(it->second.server);
-  let_go(e.conn.number, true, out);
+  let_go(now, e.conn.number, true, out);
   if (server == nullptr) return;
   if (!server->current) {
     const bool any = std::any_of(connections_.begin(), connections_.end(),
@@ -260,8 +255,9 @@
   look_after(now, *server, out);
 }
 
-// The connection is gone or is to go: its unanswered set-ups are given up by that.
-void SetupServers::let_go(std::uint32_t conn, bool closed, Outbox& out) {
+// The connection is gone or is to go: its unanswered set-ups are given up by that. They are remembered: one
+// may have stood there, and its release come on another connection.
+void SetupServers::let_go(Time now, std::uint32_t conn, bool closed, Outbox& out) {
   if (!closed) out.close({net::Concern::server, conn});
   const auto it = connections_.find(conn);
   if (it == connections_.end()) return;
@@ -269,17 +265,14 @@
     if (server->current == conn) server->current.reset();
     if (server->connecting == conn) server->connecting.reset();
   }
+  const std::set<LegKey> unanswered = std::move(it->second.unanswered);
   connections_.erase(it);
-  for (auto leg = legs_.begin(); leg != legs_.end();) {
-    const auto next = std::next(leg);
-    if (leg->second.conn == conn &&
-        (leg->second.state == LegState::sent || leg->second.state == LegState::abandoned)) {
-      core::AttemptOver ended;
-      ended.outcome = leg->second.state == LegState::sent ? Outcome::reset : Outcome::cancelled;
-      over(leg, ended, out);
-      legs_.erase(leg);
-    }
-    leg = next;
+  for (const LegKey& key : unanswered) {
+    Leg& leg = legs_.at(key);
+    core::AttemptOver ended;
+    ended.outcome = leg.state == LegState::sent ? Outcome::reset : Outcome::cancelled;
+    over(leg, ended, out);
+    enter(now, leg, LegState::over);
   }
 }
 
@@ -292,26 +285,16 @@
 void SetupServers::spoilt(Time now, std::uint32_t conn, Outbox& out) {
   const auto it = connections_.find(conn);
   Server* server = it == connections_.end() ? nullptr : find(it->second.server);
-  let_go(conn, false, out);
+  let_go(now, conn, false, out);
   if (server != nullptr) look_after(now, *server, out);
 }
 
-bool SetupServers::has_unanswered(std::uint32_t conn) const {
-  return std::any_of(legs_.begin(), legs_.end(), [conn](const auto& l) {
-    return l.second.conn == conn &&
-           (l.second.state == LegState::sent || l.second.state == LegState::abandoned);
-  });
-}
-
 // Keeps a server in reach, and finds out that it has vanished or died.
 void SetupServers::look_after(Time now, Server& server, Outbox& out) {
   if (server.host.state == ServerState::terminated) return;
-  const bool has_calls =
-      std::any_of(legs_.begin(), legs_.end(), [&](const auto& l) { return l.second.server == server.id; });
-  const bool waited_for = std::any_of(legs_.begin(), legs_.end(), [&](const auto& l) {
-    return l.second.server == server.id && l.second.state == LegState::sent &&
-           now - l.second.since > kSuspiciousUnanswered;
-  });
+  const bool has_calls = !server.legs.empty();
+  const bool waited_for =
+      !server.unanswered.empty() && now - server.unanswered.begin()->first > kSuspiciousUnanswered;
   const bool silent = has_calls && now - server.heard > (waited_for ? kSuspiciousUnanswered : kSuspicious);
   const bool wanted = server.host.state == ServerState::in_service || has_calls;
   if (wanted && !server.connecting && now >= server.next_connect && (!server.current || silent)) {
@@ -337,18 +320,16 @@
 void SetupServers::on(Time now, const net::TimerFired&, Outbox& out) {
   out.arm(net::Concern::server, 0, now + kTick);
   for (auto& [id, server] : servers_) look_after(now, server, out);
-  for (auto leg = legs_.begin(); leg != legs_.end();) {
-    const auto next = std::next(leg);
-    Leg& l = leg->second;
-    if (l.state == LegState::abandoned && now - l.since > kEndAwaited) {
-      core::AttemptOver ended;
-      ended.outcome = Outcome::cancelled;
-      over(leg, ended, out);
-      l.state = LegState::released;
-    } else if (l.state == LegState::released && now - l.since > kRemembered) {
-      legs_.erase(leg);
+  while (const auto key = due_.take(now)) {
+    const auto it = legs_.find(*key);
+    if (it->second.state != LegState::abandoned) {
+      erase(it);
+      continue;
     }
-    leg = next;
+    core::AttemptOver ended;
+    ended.outcome = Outcome::cancelled;
+    over(it->second, ended, out);
+    enter(now, it->second, LegState::over);
   }
   std::vector<std::uint32_t> stuck;
   for (const auto& [number, c] : connections_) {
@@ -363,34 +344,79 @@
   for (const auto& [number, c] : connections_) {
     Server* server = find(c.server);
     if (!c.up || (server != nullptr && server->current == number)) continue;
-    if (!has_unanswered(number)) idle.push_back(number);
+    if (c.unanswered.empty()) idle.push_back(number);
   }
-  for (const std::uint32_t number : idle) let_go(number, false, out);
+  for (const std::uint32_t number : idle) let_go(now, number, false, out);
 }
 
 // Standing calls that a server can have no more: all of them, or those that stood before it started anew.
 void SetupServers::end_calls(Server& server, std::optional<Time> stood_before, Outbox& out) {
-  for (auto leg = legs_.begin(); leg != legs_.end();) {
-    const auto next = std::next(leg);
-    const Leg& l = leg->second;
-    if (l.server == server.id && l.state == LegState::stands && (!stood_before || l.since < *stood_before)) {
-      core::AttemptOver ended;
-      ended.outcome = Outcome::reset;
-      ended.cause = kCut;
-      over(leg, ended, out);
-      legs_.erase(leg);
-    }
-    leg = next;
+  for (const LegKey& key : std::set<LegKey>(server.legs)) {
+    const auto it = legs_.find(key);
+    const Leg& leg = it->second;
+    if (leg.state != LegState::stands || (stood_before && leg.since >= *stood_before)) continue;
+    core::AttemptOver ended;
+    ended.outcome = Outcome::reset;
+    ended.cause = kCut;
+    over(leg, ended, out);
+    erase(it);
+  }
+}
+
+// ---- legs and where they are found
+
+// Puts a leg into what it is found by, or takes it out. Every state that has an end of its own is in `due_`.
+void SetupServers::index(const Leg& leg, bool in) {
+  const LegKey key = leg.key();
+  const auto put = [in](auto& set, const auto& value) {
+    in ? void(set.insert(value)) : void(set.erase(value));
+  };
+  if (Server* server = find(leg.server)) {
+    if (leg.state == LegState::queued) put(server->queued, key);
+    if (leg.state == LegState::sent) put(server->unanswered, std::pair(leg.since, key));
+  }
+  if (const auto it = connections_.find(leg.conn); it != connections_.end() && leg.unanswered())
+    put(it->second.unanswered, key);
+  const bool ends = leg.state == LegState::abandoned || leg.state == LegState::over;
+  if (!in) {
+    due_.clear(key);
+  } else if (ends) {
+    // Past the span, not at it.
+    due_.set(key, leg.since + (leg.state == LegState::over ? kRemembered : kEndAwaited) + 1ns);
   }
 }
 
+void SetupServers::enter(Time now, Leg& leg, LegState state) {
+  index(leg, false);
+  leg.state = state;
+  leg.since = now;
+  index(leg, true);
+}
+
+void SetupServers::erase(Legs::iterator leg) {
+  index(leg->second, false);
+  if (Server* server = find(leg->second.server)) server->legs.erase(leg->first);
+  const auto [first, last] = by_label_.equal_range(leg->second.request->label);
+  for (auto it = first; it != last; ++it) {
+    if (it->second != leg->first) continue;
+    by_label_.erase(it);
+    break;
+  }
+  legs_.erase(leg);
+}
+
 // ---- the broker's effects
 
 void SetupServers::apply(Time now, const core::StartAttempt& e, Outbox& out) {
   Server* server = find(e.server);
   if (server == nullptr) return;
-  Leg leg{e.request, e.attempt, e.server, 0, LegState::queued, e.give_up_at, now};
-  const auto [it, fresh] = legs_.insert_or_assign({e.request->label, e.attempt}, std::move(leg));
+  const LegKey key{e.request->call, e.attempt};
+  const auto [it, fresh] =
+      legs_.try_emplace(key, Leg{e.request, e.attempt, e.server, 0, LegState::queued, e.give_up_at, now});
+  if (!fresh) return;
+  by_label_.emplace(e.request->label, key);
+  server->legs.insert(key);
+  index(it->second, true);
   if (server->current) return send_invite(now, *server, it->second, out);
   if (!server->connecting) connect(now, *server, out);
 }
@@ -398,17 +424,15 @@
 void SetupServers::send_invite(Time now, Server& server, Leg& leg, Outbox& out) {
   // It may have begun to drain while the connection was made.
   if (server.host.state != ServerState::in_service || now >= leg.give_up_at) {
-    const auto it = legs_.find({leg.request->label, leg.attempt});
     core::AttemptOver ended;
     ended.outcome = Outcome::not_sent;
-    over(it, ended, out);
-    leg.state = LegState::released;
-    leg.since = now;
-    return;
+    over(leg, ended, out);
+    return enter(now, leg, LegState::over);
   }
+  index(leg, false);
   leg.conn = *server.current;
-  leg.state = LegState::sent;
-  leg.since = now;
+  index(leg, true);
+  enter(now, leg, LegState::sent);
   const core::Request& r = *leg.request;
   sip::Message m = request("INVITE", r.number_text, r.label, leg.attempt + 1);
   m.add("Priority-Class", r.class_name);
@@ -420,35 +444,30 @@
 }
 
 void SetupServers::apply(Time now, const core::AbandonAttempt& e, Outbox& out) {
-  for (auto it = legs_.begin(); it != legs_.end(); ++it) {
-    Leg& leg = it->second;
-    if (leg.request->call != e.call || leg.attempt != e.attempt) continue;
-    if (leg.state == LegState::queued) {
-      core::AttemptOver ended;
-      ended.outcome = Outcome::not_sent;
-      over(it, ended, out);
-      legs_.erase(it);
-    } else if (leg.state == LegState::sent) {
-      leg.state = LegState::abandoned;
-      leg.since = now;
-      counters_.add("servers.cancels");
-      send(leg, request("CANCEL", leg.request->number_text, leg.request->label, leg.attempt + 1), out);
-    }
-    return;
+  const auto it = legs_.find({e.request->call, e.attempt});
+  if (it == legs_.end()) return;
+  Leg& leg = it->second;
+  if (leg.state == LegState::queued) {
+    core::AttemptOver ended;
+    ended.outcome = Outcome::not_sent;
+    over(leg, ended, out);
+    erase(it);
+  } else if (leg.state == LegState::sent) {
+    enter(now, leg, LegState::abandoned);
+    counters_.add("servers.cancels");
+    send(leg, request("CANCEL", leg.request->number_text, leg.request->label, leg.attempt + 1), out);
   }
 }
 
 void SetupServers::apply(Time now, const core::ReleaseServer& e, Outbox& out) {
-  for (auto& [key, leg] : legs_) {
-    if (leg.request->call != e.call || leg.state != LegState::stands) continue;
-    sip::Message m = request("BYE", leg.request->number_text, leg.request->label, leg.attempt + 2);
-    m.add("Reason", "Q.850;cause=" + std::to_string(e.cause));
-    counters_.add("servers.byes_out");
-    send(leg, m, out);
-    leg.state = LegState::released;
-    leg.since = now;
-    return;
-  }
+  const auto it = legs_.find({e.request->call, e.attempt});
+  if (it == legs_.end() || it->second.state != LegState::stands) return;
+  Leg& leg = it->second;
+  sip::Message m = request("BYE", leg.request->number_text, leg.request->label, leg.attempt + 2);
+  m.add("Reason", "Q.850;cause=" + std::to_string(e.cause));
+  counters_.add("servers.byes_out");
+  send(leg, m, out);
+  enter(now, leg, LegState::over);
 }
 
 // On the leg's own connection, or the server's current one.
@@ -463,12 +482,11 @@
 
 // ---- what servers send
 
-std::vector<StrayRelease> SetupServers::on(Time now, const net::Received& e, Outbox& out) {
-  std::vector<StrayRelease> strays;
+void SetupServers::on(Time now, const net::Received& e, Outbox& out) {
   std::size_t used = 0;
   while (used < e.bytes.size()) {
     const auto it = connections_.find(e.conn.number);
-    if (it == connections_.end()) return strays;
+    if (it == connections_.end()) return;
     it->second.heard = now;
     if (Server* server = find(it->second.server)) {
       server->heard = now;
@@ -484,18 +502,16 @@
     if (std::string trouble = trouble_with(read); !trouble.empty()) {
       // Whatever is spoilt, nothing more comes on that connection: kept in use where the next message could
       // have been found, it once took set-ups for seconds that were never answered.
-      refused(now, e.conn.number, trouble, out);
-      return strays;
+      return refused(now, e.conn.number, trouble, out);
     }
     if (read.message.is_request()) {
-      requested(now, e.conn.number, read.message, out, strays);
+      requested(now, e.conn.number, read.message, out);
     } else {
       answered(now, e.conn.number, read.message, out);
-      if (!connections_.contains(e.conn.number)) return strays;
+      if (!connections_.contains(e.conn.number)) return;
     }
   }
   out.net.push_back(net::Consume{e.conn, used});
-  return strays;
 }
 
 // What makes a message one that can't be read.
@@ -512,16 +528,18 @@
 // server's own. Taken for that of an attempt, the answer to a second one at the same server was once laid to
 // the first, and the call hung until its deadline.
 SetupServers::Legs::iterator SetupServers::leg_of(std::uint32_t conn, const sip::Message& m) {
-  const std::string label(m.header("Call-ID"));
   const ServerId server = connections_.at(conn).server;
   const auto fits = [&](const Leg& leg) {
     return m.is_request() ? leg.state == LegState::stands : leg.conn == conn;
   };
   auto found = legs_.end();
-  for (auto it = legs_.lower_bound({label, 0}); it != legs_.end() && it->first.first == label; ++it) {
+  const auto [first, last] = by_label_.equal_range(std::string(m.header("Call-ID")));
+  for (auto label = first; label != last; ++label) {
+    const auto it = legs_.find(label->second);
     const Leg& leg = it->second;
     if (leg.server != server || leg.state == LegState::queued) continue;
-    if (found == legs_.end() || fits(leg) || !fits(found->second)) found = it;
+    const auto rank = [&](const Legs::iterator& l) { return std::pair(fits(l->second), l->first); };
+    if (found == legs_.end() || rank(it) > rank(found)) found = it;
   }
   return found;
 }
@@ -552,11 +570,10 @@
   if (m.status < 300) {
     counters_.add("servers.answers");
     if (leg.state == LegState::sent) {
-      leg.state = LegState::stands;
-      leg.since = now;
+      enter(now, leg, LegState::stands);
       out.tell(core::ReportHeard{leg.server, report});
       out.tell(core::AttemptStood{leg.request->call, leg.attempt, m.body});
-    } else if (leg.state == LegState::abandoned || leg.state == LegState::released) {
+    } else if (leg.state == LegState::abandoned || leg.state == LegState::over) {
       // The success crossed our CANCEL: the call must not go on at the server.
       counters_.add("servers.crossed");
       sip::Message bye = request("BYE", leg.request->number_text, leg.request->label, cseq_number + 1);
@@ -565,10 +582,9 @@
       if (leg.state == LegState::abandoned) {
         ended.outcome = Outcome::cancelled;
         ended.crossed = true;
-        over(it, ended, out);
+        over(leg, ended, out);
       }
-      leg.state = LegState::released;
-      leg.since = now;
+      enter(now, leg, LegState::over);
     }
     return;
   }
@@ -576,13 +592,12 @@
   if (leg.state == LegState::sent || leg.state == LegState::abandoned) {
     ended.outcome = leg.state == LegState::abandoned ? Outcome::cancelled : outcome_of(m.status);
     ended.reason = reason_of(m.header("Warning-Word"));
-    over(it, ended, out);
+    over(leg, ended, out);
   }
-  if (leg.state != LegState::stands) legs_.erase(it);
+  if (leg.state != LegState::stands) erase(it);
 }
 
-void SetupServers::requested(Time now, std::uint32_t conn, const sip::Message& m, Outbox& out,
-                             std::vector<StrayRelease>& strays) {
+void SetupServers::requested(Time now, std::uint32_t conn, const sip::Message& m, Outbox& out) {
   if (m.method == "NOTIFY") {
     counters_.add("servers.notifies");
     note_told(now, conn, out);
@@ -602,15 +617,15 @@
   const int cause = cause_in(m.header("Reason"));
   const LoadReport report = report_of(m);
   const auto it = leg_of(conn, m);
-  if (it == legs_.end()) {
-    strays.push_back({std::string(m.header("Call-ID")), cause});
+  const bool open = it != legs_.end() && (it->second.state == LegState::stands || it->second.unanswered());
+  if (!open) {
+    out.tell(core::ServerReleased{std::string(m.header("Call-ID")), cause, it != legs_.end()});
     return;
   }
   Leg& leg = it->second;
-  if (leg.state != LegState::stands && leg.state != LegState::sent) return;
   core::AttemptOver ended;
   ended.outcome = cause == kNormal ? Outcome::ok : Outcome::reset;
-  if (leg.state == LegState::sent) {
+  if (leg.unanswered()) {
     // It stood and is over, and its answer was lost on the way. The callee has been rung: there is no second
     // try.
     counters_.add("servers.answers_lost");
@@ -619,9 +634,8 @@
   }
   ended.cause = cause;
   ended.report = report;
-  over(it, ended, out);
-  leg.state = LegState::released;  // its release may come again on another connection
-  leg.since = now;
+  over(leg, ended, out);
+  enter(now, leg, LegState::over);  // its release may come again on another connection
 }
 
 // A server tells its state on all its connections at once. One that has not heard it while another has is
@@ -646,9 +660,9 @@
   }
 }
 
-void SetupServers::over(Legs::iterator leg, core::AttemptOver ended, Outbox& out) {
-  ended.call = leg->second.request->call;
-  ended.attempt = leg->second.attempt;
+void SetupServers::over(const Leg& leg, core::AttemptOver ended, Outbox& out) {
+  ended.call = leg.request->call;
+  ended.attempt = leg.attempt;
   out.tell(std::move(ended));
 }
 
--- a/src/back/setup_servers.h
+++ b/src/back/setup_servers.h
@@ -4,23 +4,20 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 #include "app/outbox.h"
 #include "back/directory.h"
 #include "config/config.h"
 #include "core/counters.h"
+#include "core/due.h"
 #include "proto/sip.h"
 
 namespace graniterun::back {
 
-// A call that a server released and that is not known here.
-struct StrayRelease {
-  std::string label{};
-  int cause{};
-};
-
 class SetupServers {
  public:
   SetupServers(const Settings& settings, std::vector<std::string> areas, Counters& counters)
@@ -32,7 +29,7 @@
 
   void on(Time now, const net::Connected& e, Outbox& out);
   void on(Time now, const net::ConnectFailed& e, Outbox& out);
-  std::vector<StrayRelease> on(Time now, const net::Received& e, Outbox& out);
+  void on(Time now, const net::Received& e, Outbox& out);
   void on(Time now, const net::Closed& e, Outbox& out);
   void on(Time now, const net::TimerFired& e, Outbox& out);
 
@@ -45,7 +42,15 @@
   const std::string& name_of(ServerId server) const;
 
  private:
-  enum class LegState : std::uint8_t { queued, sent, abandoned, stands, released };
+  enum class LegState : std::uint8_t { queued, sent, abandoned, stands, over };
+  using LegKey = std::pair<CallId, int>;  // call, attempt
+  struct LegHash {
+    std::size_t operator()(const LegKey& key) const {
+      return std::hash<std::uint64_t>{}(static_cast<std::uint64_t>(key.first) * 31 +
+                                        static_cast<std::uint64_t>(key.second));
+    }
+  };
+  // One attempt of a call. What is over is remembered for a while, for what comes late.
   struct Leg {
     std::shared_ptr<const core::Request> request;
     int attempt{};
@@ -54,9 +59,10 @@
     LegState state{};
     Time give_up_at{};
     Time since{};  // of the state
+    bool unanswered() const { return state == LegState::sent || state == LegState::abandoned; }
+    LegKey key() const { return {request->call, attempt}; }
   };
-  using LegKey = std::pair<std::string, int>;  // label, attempt
-  using Legs = std::map<LegKey, Leg>;
+  using Legs = std::unordered_map<LegKey, Leg, LegHash>;
 
   struct Connection {
     ServerId server{};
@@ -64,6 +70,7 @@
     Time heard{};
     std::optional<Time> told_at{};     // its state, last
     std::optional<Time> half_since{};  // a message has begun and is not whole
+    std::set<LegKey> unanswered{};     // set-ups sent on it
   };
   struct Server {
     Host host;
@@ -76,7 +83,10 @@
     bool refused = false;                     // the last one was refused
     std::optional<Time> lost_at{};            // all connections broke, none has come up since
     Time next_connect{};
-    Duration told_every{};  // about: it tells its state by itself
+    Duration told_every{};                           // about: it tells its state by itself
+    std::set<LegKey> legs{};                         // all there
+    std::set<LegKey> queued{};                       // those that wait for a connection
+    std::set<std::pair<Time, LegKey>> unanswered{};  // those sent and neither answered nor given up, by time
   };
 
   Server* find(ServerId id);
@@ -84,16 +94,17 @@
   void send_invite(Time now, Server& server, Leg& leg, Outbox& out);
   void look_after(Time now, Server& server, Outbox& out);
   void answered(Time now, std::uint32_t conn, const sip::Message& m, Outbox& out);
-  void requested(Time now, std::uint32_t conn, const sip::Message& m, Outbox& out,
-                 std::vector<StrayRelease>& strays);
-  void over(Legs::iterator leg, core::AttemptOver over, Outbox& out);
+  void requested(Time now, std::uint32_t conn, const sip::Message& m, Outbox& out);
+  void over(const Leg& leg, core::AttemptOver over, Outbox& out);
+  void enter(Time now, Leg& leg, LegState state);
+  void index(const Leg& leg, bool in);
+  void erase(Legs::iterator leg);
   void end_calls(Server& server, std::optional<Time> stood_before, Outbox& out);
-  void let_go(std::uint32_t conn, bool closed, Outbox& out);
+  void let_go(Time now, std::uint32_t conn, bool closed, Outbox& out);
   void refused(Time now, std::uint32_t conn, const std::string& trouble, Outbox& out);
   void spoilt(Time now, std::uint32_t conn, Outbox& out);
   void note_told(Time now, std::uint32_t conn, Outbox& out);
   static std::string trouble_with(const sip::ReadResult& read);
-  bool has_unanswered(std::uint32_t conn) const;
   Legs::iterator leg_of(std::uint32_t conn, const sip::Message& m);
   void send(Leg& leg, const sip::Message& m, Outbox& out);
 
@@ -104,6 +115,8 @@
   std::map<ServerId, Server> servers_;
   std::map<std::uint32_t, Connection> connections_;
   Legs legs_;
+  std::unordered_multimap<std::string, LegKey> by_label_;
+  Due<LegKey> due_;  // given up long enough, or remembered long enough
   std::uint32_t last_connection_ = 0;
 };
 
--- a/src/back/sip_trunk.cpp
+++ b/src/back/sip_trunk.cpp
@@ -55,7 +55,7 @@
   out.arm(net::Concern::trunk, kTickTimer, now + kTick);
 }
 
-void SipTrunk::take(Time, const HostList& list, ListKind kind, Outbox& out) {
+void SipTrunk::take(Time now, const HostList& list, ListKind kind, Outbox& out) {
   ServerList told;
   told.kind = kind;
   if (kind != ListKind::changes) {
@@ -64,13 +64,14 @@
   for (const Host& host : list.hosts) {
     const ServerId id = directory_.id_of(host.uid);
     const auto [known, fresh] = hosts_.try_emplace(id, host);
-    if (!fresh && host.started && known->second.started != host.started) end_calls(id, host.started, out);
+    if (!fresh && host.started && known->second.started != host.started)
+      end_calls(now, id, host.started, out);
     known->second = host;
     told.entries.push_back(directory_.entry_of(id, host));
   }
   out.tell(core::ServersChanged{std::move(told)});
   for (const auto& [id, host] : hosts_) {
-    if (host.state == ServerState::terminated) end_calls(id, {}, out);
+    if (host.state == ServerState::terminated) end_calls(now, id, {}, out);
   }
 }
 
@@ -90,17 +91,17 @@
 void SipTrunk::on(Time, const net::Accepted& e, Outbox&) { transport_.accepted(e.conn.number); }
 void SipTrunk::on(Time, const net::Connected& e, Outbox& out) { transport_.connected(e.conn.number, out); }
 
-void SipTrunk::on(Time, const net::ConnectFailed& e, Outbox& out) {
+void SipTrunk::on(Time now, const net::ConnectFailed& e, Outbox& out) {
   const std::string peer = transport_.connect_failed(e.conn.number);
   for (auto& [id, leg] : legs_) {
-    if (leg.flow.peer == peer && !leg.provisional) over(leg, ended_as(Outcome::no_connection), out);
+    if (leg.flow.peer == peer && !leg.provisional) over(now, leg, ended_as(Outcome::no_connection), out);
   }
 }
 
-void SipTrunk::on(Time, const net::Closed& e, Outbox& out) {
+void SipTrunk::on(Time now, const net::Closed& e, Outbox& out) {
   const std::string peer = transport_.closed(e.conn.number);
   for (auto& [id, leg] : legs_) {
-    if (!peer.empty() && leg.flow.peer == peer) over(leg, ended_as(Outcome::reset), out);
+    if (!peer.empty() && leg.flow.peer == peer) over(now, leg, ended_as(Outcome::reset), out);
   }
 }
 
@@ -116,24 +117,34 @@
   if (e.key.number != kTickTimer) {
     for (const sip::Lapse& lapse : transactions_.fired(now, e.key.number, out)) {
       if (lapse.what != sip::Lapse::What::no_answer) continue;
-      for (auto& [id, leg] : legs_) {  // timer B
-        const bool own =
-            lapse.key == std::string(sip::parameter(leg.invite.header("Via"), "branch")) + "|INVITE";
-        if (own) over(leg, ended_as(Outcome::timed_out), out);
-      }
+      const auto own = by_transaction_.find(lapse.key);  // timer B
+      if (own == by_transaction_.end()) continue;
+      if (Leg* leg = find(own->second)) over(now, *leg, ended_as(Outcome::timed_out), out);
     }
     return;
   }
   out.arm(net::Concern::trunk, kTickTimer, now + kTick);
-  for (auto it = legs_.begin(); it != legs_.end();) {
-    Leg& leg = it->second;
-    if (leg.state == State::abandoned && !leg.told && now - leg.since > kEndAwaited)
-      over(leg, ended_as(Outcome::cancelled), out);
-    const bool done = (leg.state == State::abandoned || leg.state == State::over) && leg.told;
-    it = done && now - leg.since > kRemembered ? legs_.erase(it) : std::next(it);
+  while (const auto call_id = due_.take(now)) {
+    Leg& leg = legs_.at(*call_id);
+    if (leg.state == State::abandoned && !leg.told) {
+      over(now, leg, ended_as(Outcome::cancelled), out);
+      continue;
+    }
+    by_transaction_.erase(leg.transaction);
+    legs_.erase(*call_id);
   }
 }
 
+// A leg that is given up or over has an end of its own.
+void SipTrunk::enter(Time now, Leg& leg, State state) {
+  leg.state = state;
+  leg.since = now;
+  const std::string call_id(leg.invite.header("Call-ID"));
+  due_.clear(call_id);
+  if (state == State::over || state == State::abandoned)
+    due_.set(call_id, now + (leg.told ? kRemembered : kEndAwaited) + 1ns);
+}
+
 // ---- the broker's effects
 
 std::string SipTrunk::via() {
@@ -145,7 +156,7 @@
   const auto host = hosts_.find(e.server);
   if (host == hosts_.end()) return;
   const core::Request& r = *e.request;
-  const std::string call_id = r.label + "-" + std::to_string(e.attempt) + "@" + settings_.address;
+  const std::string call_id = call_id_of(r, e.attempt);
   Leg& leg = legs_[call_id];
   leg.request = e.request;
   leg.attempt = e.attempt;
@@ -170,14 +181,14 @@
   if (!r.description.empty()) m.add("Content-Type", "application/sdp");
   m.body = r.description;
   counters_.add("trunk.invites");
-  transactions_.send_request(now, leg.flow, m, out);
+  leg.transaction = transactions_.send_request(now, leg.flow, m, out);
+  by_transaction_.insert_or_assign(leg.transaction, call_id);
 }
 
 void SipTrunk::apply(Time now, const core::AbandonAttempt& e, Outbox& out) {
-  Leg* leg = find(e.call, e.attempt);
+  Leg* leg = find(call_id_of(*e.request, e.attempt));
   if (leg == nullptr || leg->state != State::calling) return;
-  leg->state = State::abandoned;
-  leg->since = now;
+  enter(now, *leg, State::abandoned);
   if (leg->provisional) {
     cancel(now, *leg, out);
   } else {
@@ -187,11 +198,11 @@
 }
 
 void SipTrunk::apply(Time now, const core::ReleaseServer& e, Outbox& out) {
-  for (auto& [id, leg] : legs_) {
-    if (leg.request->call != e.call || leg.state != State::stands) continue;
-    leg.told = true;
-    return bye(now, leg, e.cause, out);
-  }
+  Leg* leg = find(call_id_of(*e.request, e.attempt));
+  if (leg == nullptr || leg->state != State::stands) return;
+  leg->told = true;
+  bye(now, *leg, e.cause, out);
+  enter(now, *leg, State::over);
 }
 
 // §9.1: the INVITE's own Via, and its number.
@@ -226,8 +237,6 @@
   m.add("Reason", "Q.850;cause=" + std::to_string(cause));
   counters_.add("trunk.byes_out");
   transactions_.send_request(now, leg.flow, m, out);
-  leg.state = State::over;
-  leg.since = now;
 }
 
 // ---- what servers send
@@ -269,7 +278,7 @@
       ended.reason = FullReason::processor;
     if (m.status == 486 || m.status == 600) ended.reason = FullReason::number_busy;
     ended.report = report_of(m);
-    if (leg->state == State::calling || leg->state == State::abandoned) over(*leg, ended, out);
+    if (leg->state == State::calling || leg->state == State::abandoned) over(now, *leg, ended, out);
     return;
   }
   // Every success is acknowledged, repeats too; a second dialog out of a fork is ended at once.
@@ -287,17 +296,18 @@
   if (forked) return bye(now, other, kNormal, out);
   counters_.add("trunk.answers");
   if (leg->state == State::calling) {
-    leg->state = State::stands;
-    leg->since = now;
+    leg->stood = true;
+    enter(now, *leg, State::stands);
     out.tell(core::AttemptStood{leg->request->call, leg->attempt, m.body});
-  } else if (leg->state == State::abandoned) {
-    // The success crossed our CANCEL: it is acknowledged and ended, and the call is not tried again.
+  } else if (!std::exchange(leg->stood, true)) {
+    // The success crossed our CANCEL, or its connection broke while the INVITE was out: it is acknowledged
+    // and ended, and the call is not tried again where its end has not been told.
     counters_.add("trunk.crossed");
     core::AttemptOver ended = ended_as(Outcome::cancelled);
     ended.crossed = true;
+    over(now, *leg, ended, out);
     bye(now, *leg, kNormal, out);
-    leg->state = State::abandoned;
-    over(*leg, ended, out);
+    enter(now, *leg, State::over);
   }
 }
 
@@ -313,9 +323,8 @@
     transactions_.respond(now, key, sip::answer_to(m, status, sip::phrase_of(status), words_.next()), out);
   };
   Leg* leg = find(m.header("Call-ID"));
-  const bool known =
-      leg != nullptr && leg->state == State::stands &&
-      sip::parameter(m.header("To"), "tag") == sip::parameter(leg->invite.header("From"), "tag");
+  const bool known = leg != nullptr && sip::parameter(m.header("To"), "tag") ==
+                                           sip::parameter(leg->invite.header("From"), "tag");
   if (m.method == "OPTIONS") return answer(200);
   if (m.method == "CANCEL") return answer(481);
   if (!known) return answer(sip::parameter(m.header("To"), "tag").empty() ? 405 : 481);
@@ -323,47 +332,45 @@
   answer(200);
   counters_.add("trunk.byes_in");
   const int cause = cause_in(m.header("Reason"));
-  core::AttemptOver ended = ended_as(cause == kNormal ? Outcome::ok : Outcome::reset);
+  if (leg->told) {
+    // Its attempt was over here before the server said that it had stood: the call may still be open.
+    if (!std::exchange(leg->stood, true)) out.tell(core::ServerReleased{leg->request->label, cause, true});
+    return;
+  }
+  core::AttemptOver ended = ended_as(cause == kNormal && leg->stood ? Outcome::ok : Outcome::reset);
+  ended.crossed = !std::exchange(leg->stood, true);  // its answer was lost: the callee has been rung
   ended.cause = cause;
   ended.report = report_of(m);
-  leg->since = now;
-  over(*leg, ended, out);
+  over(now, *leg, ended, out);
 }
 
 // ---- small things
 
-void SipTrunk::over(Leg& leg, core::AttemptOver ended, Outbox& out) {
-  if (leg.told || leg.state == State::over) return;
+void SipTrunk::over(Time now, Leg& leg, core::AttemptOver ended, Outbox& out) {
+  if (leg.told) return;
   const bool connection_lost =
       ended.outcome == Outcome::reset && ended.cause == 0 && leg.state == State::stands;
   if (connection_lost) return;  // a call that stands belongs to no connection
   leg.told = true;
-  if (leg.state != State::abandoned) leg.state = State::over;
+  enter(now, leg, leg.state == State::abandoned ? State::abandoned : State::over);
   ended.call = leg.request->call;
   ended.attempt = leg.attempt;
   out.tell(std::move(ended));
 }
 
-void SipTrunk::end_calls(ServerId server, std::optional<Time> stood_before, Outbox& out) {
+void SipTrunk::end_calls(Time now, ServerId server, std::optional<Time> stood_before, Outbox& out) {
   for (auto& [id, leg] : legs_) {
     if (leg.server != server || leg.state != State::stands) continue;
     if (stood_before && leg.since >= *stood_before) continue;
     core::AttemptOver ended = ended_as(Outcome::reset);
     ended.cause = 41;
-    over(leg, ended, out);
+    over(now, leg, ended, out);
   }
 }
 
 SipTrunk::Leg* SipTrunk::find(std::string_view call_id) {
-  const auto it = legs_.find(std::string(call_id));
+  const auto it = legs_.find(call_id);
   return it == legs_.end() ? nullptr : &it->second;
 }
 
-SipTrunk::Leg* SipTrunk::find(CallId call, int attempt) {
-  for (auto& [id, leg] : legs_) {
-    if (leg.request->call == call && leg.attempt == attempt) return &leg;
-  }
-  return nullptr;
-}
-
 }  // namespace graniterun::back
--- a/src/back/sip_trunk.h
+++ b/src/back/sip_trunk.h
@@ -5,11 +5,13 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 #include "app/outbox.h"
 #include "back/directory.h"
 #include "core/counters.h"
+#include "core/due.h"
 #include "core/words.h"
 #include "sip/transactions.h"
 
@@ -51,28 +53,33 @@
     State state{};
     Time since{};
     sip::Message invite{};
+    std::string transaction{};  // of the INVITE
     sip::Flow flow{};
     bool provisional = false;  // a CANCEL may be sent only after one (§9.1)
     bool cancelled = false;
-    bool told = false;  // the broker knows that the attempt is over
+    bool told = false;   // the broker knows that the attempt is over
+    bool stood = false;  // at the server, whether in time or not
     // The dialog (§12).
     std::string remote{};  // To, with the server's tag
     std::string target{};
     std::vector<std::string> routes{};
     std::uint32_t cseq = 1;
   };
-  using Legs = std::map<std::string, Leg>;  // by Call-ID
+  using Legs = std::map<std::string, Leg, std::less<>>;  // by Call-ID
 
   void take_message(Time now, sip::Incoming incoming, Outbox& out);
   void answered(Time now, const sip::Message& m, Outbox& out);
   void requested(Time now, const sip::Flow& flow, const sip::Message& m, Outbox& out);
-  void over(Leg& leg, core::AttemptOver ended, Outbox& out);
+  void over(Time now, Leg& leg, core::AttemptOver ended, Outbox& out);
   void cancel(Time now, Leg& leg, Outbox& out);
   sip::Message in_dialog(Leg& leg, const std::string& method, std::uint32_t cseq);
+  void enter(Time now, Leg& leg, State state);
   void bye(Time now, Leg& leg, int cause, Outbox& out);
-  void end_calls(ServerId server, std::optional<Time> stood_before, Outbox& out);
+  void end_calls(Time now, ServerId server, std::optional<Time> stood_before, Outbox& out);
   Leg* find(std::string_view call_id);
-  Leg* find(CallId call, int attempt);
+  std::string call_id_of(const core::Request& request, int attempt) const {
+    return request.label + "-" + std::to_string(attempt) + "@" + settings_.address;
+  }
   std::string via();
 
   SipTrunkSettings settings_;
@@ -82,6 +89,8 @@
   sip::Transactions transactions_;
   std::map<ServerId, Host> hosts_;
   Legs legs_;
+  std::unordered_map<std::string, std::string> by_transaction_;  // an INVITE's transaction to its Call-ID
+  Due<std::string> due_;  // legs given up long enough, or remembered long enough
   Words words_;
 };
 
--- a/src/core/broker.cpp
+++ b/src/core/broker.cpp
@@ -54,6 +54,7 @@
   call.came = now_;
   call.deadline = e.request.deadline;
   call.most_attempts = settings_.max_attempts;
+  by_label_.insert_or_assign(e.request.label, e.request.call);
   ++unanswered_;
   const Contracts::Terms terms = contracts_.admit(now_, e.request.team, e.request.call_class);
   if (terms.deadline) call.deadline = std::min(call.deadline, now_ + *terms.deadline);
@@ -99,7 +100,7 @@
   if (call == nullptr) return;
   if (!call->out || !call->out->stands) return on(CallerGaveUp{e.call});
   counters_.add("broker.released_by_caller");
-  emit(ReleaseServer{e.call, e.cause});
+  emit(ReleaseServer{call->request, call->out->index, e.cause});
   on(AttemptOver{e.call, call->out->index, Outcome::cancelled, {}, {}, e.cause, false});
 }
 
@@ -112,7 +113,7 @@
     // Nobody waits for it any more: it must not go on at the server.
     counters_.add("broker.stood_too_late");
     call->out->abandoned = true;
-    emit(ReleaseServer{e.call, 16});
+    emit(ReleaseServer{call->request, e.attempt, 16});
     return on(AttemptOver{e.call, e.attempt, Outcome::cancelled, {}, {}, 16, true});
   }
   call->out->stands = true;
@@ -155,6 +156,30 @@
   forget_if_over(e.call);
 }
 
+// A connection that fell silent gives up its set-ups; one of them may have stood at the server and be over
+// there. Its release comes on the next connection, while the call waits here for the guard or for the module.
+// Passed on to the caller it was the final answer, and yet the call was sent on. The callee has been rung:
+// the call is ended here. Where its next attempt is out already that one goes on, and is the last.
+void Broker::on(const ServerReleased& e) {
+  const auto known = by_label_.find(e.label);
+  if (known == by_label_.end()) {
+    if (!e.remembered) emit(PassOnRelease{e.label, e.cause});
+    return;
+  }
+  const CallId id = known->second;
+  Call& call = calls_.at(id);
+  if (call.answered) return counters_.add("broker.releases_after_answer");
+  counters_.add("broker.releases_before_answer");
+  if (call.out && call.out->sent && !call.out->abandoned) {
+    call.most_attempts = call.attempts;
+    return;
+  }
+  answer(call, false, false, Why::crossed, kStayAway, {});
+  tell_module(CallerLeft{id});
+  settle_module();
+  forget_if_over(id);
+}
+
 void Broker::on(const ServersChanged& e) {
   if (e.list.kind == ListKind::refused) return;
   if (e.list.kind != ListKind::changes) {
@@ -194,7 +219,7 @@
   if (call.out) {
     const Attempt out = *call.out;
     record(call, Outcome::timed_out);
-    if (out.sent && !out.abandoned) emit(AbandonAttempt{id, out.index});
+    if (out.sent && !out.abandoned) emit(AbandonAttempt{call.request, out.index});
     call.out.reset();
     AttemptEnded ended;
     ended.call = id;
@@ -270,6 +295,8 @@
   out.sent_at = now_;
   Server& server = servers_[out.server];
   server.sends.push_back(now_);
+  // Only what was sent counts: a set-up that waited for the guard in vain once raised it too.
+  if (is_warm(server)) server.busiest = std::max(server.busiest, static_cast<double>(server.sends.size()));
   counters_.add("broker.attempts");
   emit(StartAttempt{call.request, out.index, out.server, out.give_up_at});
 }
@@ -296,10 +323,7 @@
   while (!server.sends.empty() && now_ - server.sends.front() > settings_.fall_window)
     server.sends.pop_front();
   const auto recent = static_cast<double>(server.sends.size());
-  if (!server.online_since || now_ >= *server.online_since + settings_.cold_time) {
-    server.busiest = std::max(server.busiest, recent + 1.0);
-    return true;
-  }
+  if (is_warm(server)) return true;
   double busiest = 0.0;
   for (const auto& [other, s] : servers_) busiest = std::max(busiest, s.busiest);
   if (recent < std::max(kColdLeast, settings_.fall_multiple * settings_.cold_share * busiest)) return true;
@@ -322,7 +346,7 @@
   }
   call.out->abandoned = true;
   counters_.add("broker.attempts_abandoned");
-  emit(AbandonAttempt{call.request->call, call.out->index});
+  emit(AbandonAttempt{call.request, call.out->index});
 }
 
 void Broker::act(const Refuse& a) {
@@ -375,7 +399,10 @@
 
 void Broker::forget_if_over(CallId id) {
   const auto it = calls_.find(id);
-  if (it != calls_.end() && it->second.answered && !it->second.out) calls_.erase(it);
+  if (it == calls_.end() || !it->second.answered || it->second.out) return;
+  const auto label = by_label_.find(it->second.request->label);
+  if (label != by_label_.end() && label->second == id) by_label_.erase(label);
+  calls_.erase(it);
 }
 
 void Broker::alarm(Time at, Alarm alarm) {
--- a/src/core/broker.h
+++ b/src/core/broker.h
@@ -83,6 +83,12 @@
   int cause{};           // of a standing call's end
   bool crossed = false;  // the server's success crossed our giving up; it has been released
 };
+// A server released a call whose attempt there is over already, or was never known here.
+struct ServerReleased {
+  std::string label{};
+  int cause{};
+  bool remembered{};  // an attempt of the call is known to have been at that server
+};
 struct ServersChanged {
   ServerList list{};
 };
@@ -95,7 +101,7 @@
 };
 
 using Event = std::variant<RequestCame, CallerGaveUp, CallerReleased, AttemptStood, AttemptOver,
-                           ServersChanged, ReportHeard, TimerRang>;
+                           ServerReleased, ServersChanged, ReportHeard, TimerRang>;
 
 // ---- Effects
 
@@ -106,11 +112,12 @@
   Time give_up_at{};
 };
 struct AbandonAttempt {  // answered by an AttemptOver
-  CallId call{};
+  std::shared_ptr<const Request> request{};
   int attempt{};
 };
 struct ReleaseServer {  // cut the standing call
-  CallId call{};
+  std::shared_ptr<const Request> request{};
+  int attempt{};
   int cause{};
 };
 struct Serve {  // final answer
@@ -127,6 +134,12 @@
   CallId call{};
   int cause{};
 };
+// A server released a call that nobody holds open: it stood before a restart, and its caller may still be
+// there.
+struct PassOnRelease {
+  std::string label{};
+  int cause{};
+};
 struct SetAlarm {
   Time at{};
   std::uint64_t timer{};
@@ -150,7 +163,7 @@
 };
 
 using Effect = std::variant<StartAttempt, AbandonAttempt, ReleaseServer, Serve, TurnDown, ReleaseCaller,
-                            SetAlarm, Note, RequestAnswered>;
+                            PassOnRelease, SetAlarm, Note, RequestAnswered>;
 using Effects = std::vector<Effect>;
 
 class Broker {
@@ -205,6 +218,7 @@
   void on(const CallerReleased& e);
   void on(const AttemptStood& e);
   void on(const AttemptOver& e);
+  void on(const ServerReleased& e);
   void on(const ServersChanged& e);
   void on(const ReportHeard& e);
   void on(const TimerRang& e);
@@ -224,6 +238,9 @@
   void give_up_attempt(Call& call);
   void not_sent(Call& call, int index, ServerId server);
   bool may_send(ServerId server, std::string_view& why_not);
+  bool is_warm(const Server& server) const {
+    return !server.online_since || now_ >= *server.online_since + settings_.cold_time;
+  }
   void answer(Call& call, bool served, bool refused, Why why, Duration wait, const std::string& description);
   void record(Call& call, std::optional<Outcome> outcome);
   void forget_if_over(CallId id);
@@ -238,6 +255,7 @@
   Time now_{};
   Effects* effects_ = nullptr;
   std::unordered_map<CallId, Call> calls_;
+  std::unordered_map<std::string, CallId> by_label_;  // of calls_; the newest under a label
   std::map<ServerId, Server> servers_;
   std::unordered_map<std::uint64_t, Alarm> alarms_;
   std::uint64_t last_alarm_ = 0;
--- a/src/front/platform.cpp
+++ b/src/front/platform.cpp
@@ -263,9 +263,9 @@
   tell(now, call.conn, call.id, message("release", call.id, e.cause).text(), out);
 }
 
-void Platform::pass_on_release(Time now, const std::string& label, int cause, Outbox& out) {
+void Platform::apply(Time now, const core::PassOnRelease& e, Outbox& out) {
   counters_.add("platform.releases_passed_on");
-  tell(now, {}, label, message("release", label, cause).text(), out);
+  tell(now, {}, e.label, message("release", e.label, e.cause).text(), out);
 }
 
 // What ends a call may go to the callers on any connection: on its own, else another, else the next.
--- a/src/front/platform.h
+++ b/src/front/platform.h
@@ -37,9 +37,7 @@
   void apply(const core::Serve& e, Outbox& out);
   void apply(const core::TurnDown& e, Outbox& out);
   void apply(Time now, const core::ReleaseCaller& e, Outbox& out);
-  // A server released a call that is not known here: it stood before a restart. Its caller may still be
-  // there.
-  void pass_on_release(Time now, const std::string& label, int cause, Outbox& out);
+  void apply(Time now, const core::PassOnRelease& e, Outbox& out);
 
  private:
   struct Call {
--- a/tests/broker_test.cpp
+++ b/tests/broker_test.cpp
@@ -101,13 +101,17 @@
             busiest = std::max(busiest, count);
           }
         } else if (const auto* a = std::get_if<core::AbandonAttempt>(&effect)) {
-          CHECK(calls.at(a->call).out == a->attempt);
-          abandoned.emplace_back(a->call, a->attempt);
+          CHECK(calls.at(a->request->call).out == a->attempt);
+          abandoned.emplace_back(a->request->call, a->attempt);
         } else if (const auto* s = std::get_if<core::Serve>(&effect)) {
           CHECK_EQ(++calls.at(s->call).finals, 1);
         } else if (const auto* t = std::get_if<core::TurnDown>(&effect)) {
           CHECK_EQ(++calls.at(t->call).finals, 1);
           CHECK(!calls.at(t->call).left && now <= calls.at(t->call).deadline);
+        } else if (const auto* p = std::get_if<core::PassOnRelease>(&effect)) {
+          // Passed on, it is a final answer: never for a call that is held open.
+          const auto it = calls.find(core::call_id(core::Front::platform, std::stoull(p->label)));
+          CHECK(it == calls.end() || it->second.finals == 1 || it->second.left);
         } else if (const auto* al = std::get_if<core::SetAlarm>(&effect)) {
           alarms.emplace(al->at, al->timer);
         }
@@ -143,6 +147,15 @@
       for (const auto& [id, attempt] : std::exchange(abandoned, {})) {
         if (calls.at(id).out == attempt) ended(id, Outcome::cancelled, random() % 4 == 0);
       }
+      if (random() % 8 == 0) {  // a release that no open attempt answers for
+        const std::uint64_t number = last - std::min<std::uint64_t>(last, random() % 8);
+        const auto it = calls.find(core::call_id(core::Front::platform, number));
+        const bool held = it != calls.end() && it->second.finals == 0 && !it->second.left;
+        const bool out = held && it->second.out.has_value();
+        tell(core::ServerReleased{std::to_string(number), 16, random() % 2 == 0});
+        if (held && !out) CHECK_EQ(it->second.finals, 1);
+        if (out) CHECK_EQ(it->second.finals, 0);
+      }
       const std::uint32_t pick = random() % 10;
       if (pick < 4) {
         const Time deadline = now + std::chrono::milliseconds(1 + random() % 2000);
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -347,6 +347,57 @@
   CHECK_EQ(lab.line().type, "release");
 }
 
+// A silent connection is closed and its set-up waits for the guard; the server says on the next one that the
+// call had stood there and is over. The caller was told that, its final answer, and the call was sent on.
+void a_release_of_a_call_that_waits_is_its_one_answer() {
+  Ready lab;
+  lab.pass(300ms);
+  lab.receive(kCaller, set_up(kId, 3000));
+  lab.invite(lab.s0);
+  lab.tell(net::Closed{lab.s0, true});
+  const ConnId next = lab.connects.at(0).conn;
+  lab.bring_up();
+  lab.receive(next, server_bye(kId, 16));
+  CHECK_EQ(lab.messages(next).at(0).status, 200);
+  const jsonl::Message release = lab.line();
+  CHECK_EQ(release.type, "release");
+  CHECK(!release.field("wait").empty());
+  lab.receive(next, server_bye(kId, 16));  // told once more: it is not passed on either
+  CHECK_EQ(lab.messages(next).at(0).status, 200);
+  lab.pass(5s);
+  CHECK(lab.messages(next).empty() && lab.messages(lab.s1).empty() && lab.lines(kCaller).empty());
+}
+
+// The next attempt is out elsewhere already: it goes on, its answer is the call's, and no other follows it.
+void a_release_of_an_earlier_attempt_leaves_the_next_one() {
+  for (const int status : {200, 503}) {
+    Ready lab;
+    lab.receive(kCaller, set_up(kId, 3000));
+    lab.invite(lab.s0);
+    lab.tell(net::Closed{lab.s0, true});
+    lab.pass(400ms);
+    const sip::Message second = lab.invite(lab.s1);
+    const ConnId next = lab.connects.at(0).conn;
+    lab.bring_up();
+    lab.receive(next, server_bye(kId, 16));
+    CHECK_EQ(lab.messages(next).at(0).status, 200);
+    CHECK(lab.lines(kCaller).empty());
+    lab.receive(lab.s1, server_answer(second, status, status == 200 ? "answer" : ""));
+    lab.pass(2900ms);
+    CHECK_EQ(lab.line().type, status == 200 ? "answer" : "release");
+    CHECK(lab.messages(next).empty());
+  }
+}
+
+// A call that stood before a restart: nobody holds it here, and its caller may still be there.
+void a_release_of_a_call_that_nobody_holds_is_passed_on() {
+  Ready lab;
+  lab.receive(lab.s0, server_bye(kId, 41));
+  const jsonl::Message release = lab.line();
+  CHECK_EQ(release.id, kId);
+  CHECK_EQ(*release.cause, 41);
+}
+
 void set_ups_at_a_vanished_server_go_elsewhere() {  // they hung until their callers gave up
   Ready lab;
   lab.receive(kCaller, set_up(kId, 4000));
@@ -665,6 +716,9 @@
   a_journal_that_moves_is_asked_for_what_is_new();
   a_lost_connection_gives_up_its_set_ups_only();
   calls_of_a_vanished_server_are_released_in_time();
+  a_release_of_a_call_that_waits_is_its_one_answer();
+  a_release_of_an_earlier_attempt_leaves_the_next_one();
+  a_release_of_a_call_that_nobody_holds_is_passed_on();
   set_ups_at_a_vanished_server_go_elsewhere();
   calls_of_a_quiet_server_are_kept();
   a_release_finds_another_connection();
--- a/tests/trunk_test.cpp
+++ b/tests/trunk_test.cpp
@@ -178,9 +178,43 @@
   CHECK(lab.lines(kCaller).empty());
 }
 
+// Its success was lost and it got no ACK: it was told 481, and the call hung until its deadline.
+void a_bye_ahead_of_the_answer_ends_the_call() {
+  TrunkLab lab;
+  lab.call();
+  const sip::Message invite = lab.one();
+  lab.from(kServers[0], bye(invite));
+  CHECK_EQ(lab.one().status, 200);
+  CHECK_EQ(lab.lines(kCaller).at(0).type, "release");
+  lab.from(kServers[0], answer(invite, 200, kContact, "answer"));  // late after all
+  CHECK_EQ(lab.one().method, "ACK");
+  lab.pass(5s);
+  CHECK(lab.to_servers().empty() && lab.lines(kCaller).empty());
+}
+
+// Its connection broke while the INVITE was out; it stood there and is over, while the call waits here.
+void a_bye_of_an_attempt_that_was_lost_ends_the_call() {
+  TrunkLab lab("tcp");
+  lab.call();
+  const ConnId up = lab.connects.at(0).conn;
+  lab.tell(net::Connected{up});
+  const sip::Message invite = lab.messages(up).at(0);
+  lab.tell(net::Closed{up, true});
+  const ConnId next{Concern::trunk, 900};
+  lab.tell(net::Accepted{next});
+  lab.receive(next, bye(invite));
+  CHECK_EQ(lab.messages(next).at(0).status, 200);
+  CHECK_EQ(lab.lines(kCaller).at(0).type, "release");
+  lab.connects.clear();
+  lab.pass(5s);
+  CHECK(lab.connects.empty() && lab.lines(kCaller).empty());
+}
+
 }  // namespace
 
 int main() {
+  a_bye_ahead_of_the_answer_ends_the_call();
+  a_bye_of_an_attempt_that_was_lost_ends_the_call();
   a_call_stands_and_the_caller_ends_it();
   the_server_ends_a_call();
   a_refusal_is_acknowledged_and_the_call_goes_elsewhere();
