Add the register of call gaps, the fleet's slots and the watch for hot numbers

Need: operators are to announce a gap on a number, obeyed by every gatekeeper, one call an interval for the fleet.

Change: src/limits, pure: announcements that converge by version (a lift and an end are remembered for longer than anything before them can be in force), a check that looks up the number and its prefixes by hash, one slot of Unix time dealt out in turn and ceded or granted by demand, and a Space-Saving watch with decay. Not wired in yet.

--- /dev/null
+++ b/src/limits/gap.cpp
@@ -0,0 +1,76 @@
+#include "limits/gap.h"
+
+#include <cmath>
+#include <limits>
+#include <tuple>
+
+namespace graniterun::limits {
+namespace {
+
+bool too_long(const std::string& text) { return text.size() > kLongestText; }
+
+std::string trouble_with(const std::vector<std::string>& texts, const char* what) {
+  if (texts.size() > kMostNumbers) return std::string("there are over 1000 ") + what;
+  for (const std::string& text : texts) {
+    if (text.empty()) return std::string("one of the ") + what + " is empty";
+    if (too_long(text)) return std::string("one of the ") + what + " is over 128 characters long";
+  }
+  return {};
+}
+
+std::string trouble_with(const Gap& gap) {
+  const Criteria& c = gap.criteria;
+  for (const auto& [texts, what] : {std::pair{&c.numbers, "numbers"}, std::pair{&c.prefixes, "prefixes"},
+                                    std::pair{&c.classes, "classes"}}) {
+    if (std::string trouble = trouble_with(*texts, what); !trouble.empty()) return trouble;
+  }
+  if (c.numbers.empty() && c.prefixes.empty() && c.classes.empty())
+    return "the gap names no number, no prefix and no class: it would be for every call";
+  if (gap.shape == Shape::percentage) {
+    if (!(gap.percent >= 0.0 && gap.percent <= 100.0)) return "the percentage is not from 0 to 100";
+    if (gap.interval) return "a percentage has no interval";
+  } else if (gap.interval && *gap.interval != Duration{} &&
+             (*gap.interval < kShortestInterval || *gap.interval > kLongestGap)) {
+    return "the interval is not 0, nor from 10 ms to 24 h";
+  }
+  const int cause = gap.treatment.cause;
+  if (cause != 34 && cause != 42 && cause != 102) return "the cause is not 34, 42 or 102";
+  if (too_long(gap.treatment.words)) return "the words are over 128 characters long";
+  return {};
+}
+
+// How much it holds back: more is stricter.
+double strictness(const Announcement& a) {
+  if (!a.gap) return -1.0;
+  if (a.gap->shape == Shape::percentage) return 100.0 - a.gap->percent;
+  if (!a.gap->interval) return std::numeric_limits<double>::infinity();
+  return std::chrono::duration<double>(*a.gap->interval).count();
+}
+
+auto rest_of(const Announcement& a) {
+  static const Gap kNone{};
+  const Gap& g = a.gap ? *a.gap : kNone;
+  return std::tuple(a.end, a.start, a.made, a.by, g.shape, g.criteria.numbers, g.criteria.prefixes,
+                    g.criteria.classes, g.treatment.cause, g.treatment.words);
+}
+
+}  // namespace
+
+std::string trouble_with(const Announcement& a, Time now) {
+  if (a.id.empty() || too_long(a.id)) return "the id is empty or over 128 characters long";
+  if (too_long(a.by)) return "the announcer's name is over 128 characters long";
+  if (a.version == 0) return "the version is not above 0";
+  if (a.made > now + kClockError) return "it was made in the future: a clock is wrong";
+  if (a.end > a.made + kLongestGap) return "it ends over 24 h after it was made";
+  if (a.start > a.made + kLongestGap) return "it starts over 24 h after it was made";
+  if (a.gap && a.end <= a.start) return "it ends before it starts";
+  return a.gap ? trouble_with(*a.gap) : std::string();
+}
+
+bool holds_over(const Announcement& a, const Announcement& b) {
+  const double left = strictness(a);
+  const double right = strictness(b);
+  return left != right ? left > right : rest_of(a) > rest_of(b);
+}
+
+}  // namespace graniterun::limits
--- /dev/null
+++ b/src/limits/hot_numbers.cpp
@@ -0,0 +1,116 @@
+#include "limits/hot_numbers.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace graniterun::limits {
+namespace {
+
+double seconds(Duration d) { return std::chrono::duration<double>(d).count(); }
+
+// Units grow by e once per `memory`; well before a double can't hold them they are brought down.
+constexpr double kMostExponent = 200.0;
+
+}  // namespace
+
+double HotNumbers::unit(Time now) const {
+  return std::exp(std::max(0.0, seconds(now - base_) / seconds(settings_.memory)));
+}
+
+void HotNumbers::renormalize(Time now) {
+  if (base_ == Time{}) base_ = now;
+  if (seconds(now - base_) / seconds(settings_.memory) < kMostExponent) return;
+  const double by = 1.0 / unit(now);
+  order_.clear();
+  for (auto& [number, e] : entries_) {
+    e.count *= by;
+    e.error *= by;
+    order_.emplace(e.count, number);
+  }
+  base_ = now;
+}
+
+void HotNumbers::called(Time now, std::string_view number) {
+  renormalize(now);
+  std::string key(number);
+  const double one = unit(now);
+  auto it = entries_.find(key);
+  if (it == entries_.end()) {
+    Entry fresh;
+    if (entries_.size() >= kMost) {
+      // The least called makes room. One that is hot stays until it was told that it is so no more.
+      auto least = order_.begin();
+      while (least != order_.end() && entries_.at(least->second).hot) ++least;
+      if (least == order_.end()) return;
+      fresh.count = fresh.error = least->first;
+      entries_.erase(least->second);
+      order_.erase(least);
+    }
+    it = entries_.emplace(std::move(key), fresh).first;
+  } else {
+    order_.erase({it->second.count, it->first});
+  }
+  it->second.count += one;
+  order_.emplace(it->second.count, it->first);
+}
+
+HotNumber HotNumbers::tell(Time now, const std::string& number, const Entry& e) const {
+  // A steady rate r adds up to r x memory units.
+  const double per = unit(now) * seconds(settings_.memory);
+  return {number, e.count / per, e.error / per, e.above.value_or(now), e.gapped};
+}
+
+std::vector<HotNumbers::Change> HotNumbers::look(Time now) {
+  std::vector<Change> changes;
+  for (auto it = entries_.begin(); it != entries_.end();) {
+    Entry& e = it->second;
+    const HotNumber state = tell(now, it->first, e);
+    const double certain = state.rate - state.error;
+    if (certain >= settings_.hot_from) {
+      if (!e.above) e.above = now;
+      e.below.reset();
+    } else if (state.rate < settings_.cool_below) {
+      if (!e.below) e.below = now;
+    } else {
+      e.below.reset();
+    }
+    if (!e.hot && certain < settings_.hot_from) e.above.reset();
+    const auto note = [&](Change::What what) { changes.push_back({what, tell(now, it->first, e)}); };
+    if (!e.hot && e.above && now - *e.above >= settings_.hot_for) {
+      e.hot = true;
+      note(Change::What::hot);
+    }
+    if (e.hot && !e.gapped && !e.below && gapped_ < settings_.most_gaps) {
+      e.gapped = true;
+      ++gapped_;
+      note(Change::What::gap);
+    }
+    if (e.hot && e.below && now - *e.below >= settings_.cool_for) {
+      if (e.gapped) {
+        --gapped_;
+        note(Change::What::lift);
+      }
+      e.hot = e.gapped = false;
+      e.above.reset();
+      note(Change::What::cool);
+    }
+    if (!e.hot && state.rate * seconds(settings_.memory) < 0.1) {  // long not called
+      order_.erase({e.count, it->first});
+      it = entries_.erase(it);
+    } else {
+      ++it;
+    }
+  }
+  return changes;
+}
+
+std::vector<HotNumber> HotNumbers::hot(Time now) const {
+  std::vector<HotNumber> all;
+  for (const auto& [number, e] : entries_) {
+    if (e.hot) all.push_back(tell(now, number, e));
+  }
+  std::sort(all.begin(), all.end(), [](const HotNumber& a, const HotNumber& b) { return a.rate > b.rate; });
+  return all;
+}
+
+}  // namespace graniterun::limits
--- /dev/null
+++ b/src/limits/slots.cpp
@@ -0,0 +1,97 @@
+#include "limits/slots.h"
+
+#include <algorithm>
+#include <cmath>
+#include <numeric>
+
+namespace graniterun::limits {
+namespace {
+
+// A gatekeeper with more than this part of its even share keeps all its slots: what demands differ by chance
+// is no reason to move slots.
+constexpr double kKeepsFrom = 0.6;
+
+}  // namespace
+
+std::vector<Slot> Slots::cede(const std::vector<double>& demand, Slot first, Slot last, std::uint64_t salt,
+                              bool each) {
+  std::vector<Slot> ceded;
+  const double all = std::accumulate(demand.begin(), demand.end(), 0.0);
+  if (demand.size() != fleet_.size || fleet_.size < 2 || !(all > 0.0)) return ceded;
+  const double part = demand[fleet_.index] / all * fleet_.size;
+  const double cedes = part >= kKeepsFrom ? 0.0 : 1.0 - part;
+  for (Slot slot = std::max(first, decided_ + 1); slot <= last; ++slot) {
+    decided_ = slot;
+    if (!each && owner_of(slot, salt, fleet_.size) != fleet_.index) continue;
+    credit_ += cedes;
+    if (credit_ < 1.0 || ceded_.size() >= kMostSlots) continue;
+    credit_ -= 1.0;
+    ceded_.insert(slot);
+    ceded.push_back(slot);
+  }
+  return ceded;
+}
+
+void Slots::grant(const std::vector<SlotOf>& slots, Slot now) {
+  for (const SlotOf& slot : slots) {
+    if (slot.slot < now || granted_.size() >= kMostSlots) continue;
+    granted_.insert(slot);
+  }
+}
+
+void Slots::drop_before(Slot slot) {
+  ceded_.erase(ceded_.begin(), ceded_.lower_bound(slot));
+  granted_.erase(granted_.begin(), granted_.lower_bound({slot, 0}));
+}
+
+Dealer::Dealer(std::uint32_t fleet, Duration interval, std::uint64_t life)
+    : memory_(std::max<Duration>(std::chrono::seconds(1), 4 * interval)),
+      life_(life),
+      seen_(fleet),
+      credit_(fleet, 0.0) {}
+
+void Dealer::hear_demand(Time now, std::uint32_t gatekeeper, double calls, Duration span) {
+  if (gatekeeper >= seen_.size() || span <= Duration{}) return;
+  Seen& seen = seen_[gatekeeper];
+  const double s = std::chrono::duration<double>(span).count();
+  const double keeps = std::exp(-std::chrono::duration<double>(span) / memory_);
+  seen.rate = seen.at == Time{} ? calls / s : seen.rate * keeps + (1.0 - keeps) * calls / s;
+  seen.at = now;
+}
+
+std::vector<double> Dealer::demand(Time now) const {
+  std::vector<double> all;
+  for (const Seen& seen : seen_) {
+    // Who has said nothing for long is not known to have any.
+    const bool fresh = seen.at != Time{} && now - seen.at < 2 * memory_;
+    all.push_back(fresh && seen.rate > 1e-6 ? seen.rate : 0.0);
+  }
+  return all;
+}
+
+std::map<std::uint32_t, std::vector<SlotOf>> Dealer::deal(Time now, std::uint64_t life, std::uint32_t from,
+                                                          const std::vector<Slot>& slots) {
+  std::map<std::uint32_t, std::vector<SlotOf>> grants;
+  if (life != life_) return grants;
+  std::vector<double> wants = demand(now);
+  const double all = std::accumulate(wants.begin(), wants.end(), 0.0);
+  if (!(all > 0.0)) return grants;
+  // To those over their even share, by how far they are over it.
+  double over = 0.0;
+  for (double& want : wants)
+    over += want = std::max(0.0, want / all - 1.0 / static_cast<double>(wants.size()));
+  if (!(over > 0.0)) return grants;
+  for (const Slot slot : slots) {
+    if (dealt_.size() >= kMostSlots || !dealt_.insert({slot, from}).second) continue;
+    for (std::size_t i = 0; i < wants.size(); ++i) credit_[i] += wants[i] / over;
+    const auto to =
+        static_cast<std::size_t>(std::max_element(credit_.begin(), credit_.end()) - credit_.begin());
+    credit_[to] -= 1.0;
+    grants[static_cast<std::uint32_t>(to)].push_back({slot, from});
+  }
+  return grants;
+}
+
+void Dealer::drop_before(Slot slot) { dealt_.erase(dealt_.begin(), dealt_.lower_bound({slot, 0})); }
+
+}  // namespace graniterun::limits
