--- a/src/app/gatekeeper.cpp
+++ b/src/app/gatekeeper.cpp
@@ -50,6 +50,14 @@
   return s;
 }
 
+control::ControlSettings control_settings(const PlatformConfig& config, const DeployConfig& deploy) {
+  control::ControlSettings s = deploy.control.value_or(control::ControlSettings{});
+  s.name = config.name;
+  s.seed = config.seed;
+  s.longest_wait = config.settings.max_stay_away;
+  return s;
+}
+
 otlp::ExporterSettings exporter_settings(const PlatformConfig& config, const DeployConfig& deploy) {
   return {deploy.collector, deploy.collector_host, config.name, deploy.export_every, config.seed};
 }
@@ -61,7 +69,8 @@
     : config_(config),
       deploy_(deploy),
       more_counters_(std::move(more_counters)),
-      broker_(config.settings, config.seed, core::Contracts(deploy.contracts), counters_),
+      control_(control_settings(config, deploy), counters_),
+      broker_(config.settings, config.seed, core::Contracts(deploy.contracts), counters_, gate()),
       platform_(platform_settings(config), counters_),
       sip_(sip_settings(config, deploy), counters_),
       servers_(config.settings, config.areas, counters_),
@@ -72,13 +81,70 @@
         back::SipTrunkSettings{deploy.sip_server_transport == "tcp", deploy.sip_servers_from, config.seed},
         config.areas, counters_);
   }
+  wire();
+}
+
+// Where no gaps can be announced and nothing is watched, new calls are not looked at.
+core::Broker::Gate Gatekeeper::gate() {
+  if (!deploy_.control) return {};
+  return
+      [this](Time now, const core::Request& r) { return control_.check(now, r.number_text, r.class_name); };
+}
+
+// A part's step: what it has no handler for is none of its business.
+template <class Part>
+Gatekeeper::Step Gatekeeper::step_of(Part& part) {
+  return [&part](Time now, const net::Event& event, Outbox& out) {
+    std::visit(
+        [&](const auto& e) {
+          if constexpr (requires { part.on(now, e, out); }) part.on(now, e, out);
+        },
+        event);
+  };
+}
+
+void Gatekeeper::wire() {
+  const auto part = [this](net::Concern concern) -> Step& {
+    return parts_[static_cast<std::size_t>(concern)];
+  };
+  part(net::Concern::broker) = [](Time, const net::Event& event, Outbox& out) {
+    if (const auto* e = std::get_if<net::TimerFired>(&event)) out.tell(core::TimerRang{e->key.number});
+  };
+  part(net::Concern::platform) = step_of(platform_);
+  part(net::Concern::server) = step_of(servers_);
+  part(net::Concern::sip) = step_of(sip_);
+  if (trunk_) part(net::Concern::trunk) = step_of(*trunk_);
+  part(net::Concern::control) = step_of(control_);
+  part(net::Concern::journal) = [this, step = step_of(journal_)](Time now, const net::Event& event,
+                                                                 Outbox& out) {
+    step(now, event, out);
+    for (const HostList& list : journal_.take_news())
+      take_list(now, list, list.whole ? ListKind::all : ListKind::changes, out);
+  };
+  part(net::Concern::collector) = [this, step = step_of(exporter_)](Time now, const net::Event& event,
+                                                                    Outbox& out) {
+    if (const auto* e = std::get_if<net::TimerFired>(&event))
+      return exporter_.on(now, *e, all_counters(), out);
+    step(now, event, out);
+  };
+  part(net::Concern::process) = [](Time now, const net::Event&, Outbox& out) {
+    out.arm(net::Concern::process, 0, now + kLook);
+  };
 }
 
 void Gatekeeper::step(Time now, const net::Event& event, net::Effects& effects) {
   Outbox out;
-  std::visit([&](const auto& e) { on(now, e, out); }, event);
+  if (const auto concern = net::concern_of(event)) {
+    if (const Step& part = parts_[static_cast<std::size_t>(*concern)]) part(now, event, out);
+  } else {
+    std::visit(
+        [&](const auto& e) {
+          if constexpr (requires { on(now, e, out); }) on(now, e, out);
+        },
+        event);
+  }
   settle(now, out);
-  const bool ready = !stop_asked_ && (trunk_ ? trunk_->ready() : servers_.ready());
+  const bool ready = !stop_asked_ && control_.ready(now) && (trunk_ ? trunk_->ready() : servers_.ready());
   platform_.ready(ready);
   sip_.ready(ready);
   finish_if_drained(now, out);
@@ -151,68 +217,10 @@
   platform_.start(now, out);
   sip_.start(now, out);
   exporter_.start(now, out);
+  control_.start(now, out);
   out.log(net::Level::info, config_.name + " listens on " + config_.listen);
 }
 
-void Gatekeeper::on(Time now, const net::Accepted& e, Outbox& out) {
-  if (e.conn.concern == net::Concern::platform) platform_.on(now, e, out);
-  if (e.conn.concern == net::Concern::sip) sip_.on(now, e, out);
-  if (e.conn.concern == net::Concern::trunk) trunk_->on(now, e, out);
-}
-
-void Gatekeeper::on(Time now, const net::Connected& e, Outbox& out) {
-  if (e.conn.concern == net::Concern::server) servers_.on(now, e, out);
-  if (e.conn.concern == net::Concern::journal) journal_.on(now, e, out);
-  if (e.conn.concern == net::Concern::sip) sip_.on(now, e, out);
-  if (e.conn.concern == net::Concern::trunk) trunk_->on(now, e, out);
-  if (e.conn.concern == net::Concern::collector) exporter_.on(now, e, out);
-}
-
-void Gatekeeper::on(Time now, const net::ConnectFailed& e, Outbox& out) {
-  if (e.conn.concern == net::Concern::server) servers_.on(now, e, out);
-  if (e.conn.concern == net::Concern::journal) journal_.on(now, e, out);
-  if (e.conn.concern == net::Concern::sip) sip_.on(now, e, out);
-  if (e.conn.concern == net::Concern::trunk) trunk_->on(now, e, out);
-  if (e.conn.concern == net::Concern::collector) exporter_.on(now, e, out);
-}
-
-void Gatekeeper::on(Time now, const net::Received& e, Outbox& out) {
-  if (e.conn.concern == net::Concern::platform) platform_.on(now, e, out);
-  if (e.conn.concern == net::Concern::server) servers_.on(now, e, out);
-  if (e.conn.concern == net::Concern::journal) {
-    for (const HostList& list : journal_.on(now, e, out))
-      take_list(now, list, list.whole ? ListKind::all : ListKind::changes, out);
-  }
-  if (e.conn.concern == net::Concern::sip) sip_.on(now, e, out);
-  if (e.conn.concern == net::Concern::trunk) trunk_->on(now, e, out);
-  if (e.conn.concern == net::Concern::collector) exporter_.on(now, e, out);
-}
-
-void Gatekeeper::on(Time now, const net::Closed& e, Outbox& out) {
-  if (e.conn.concern == net::Concern::platform) platform_.on(now, e, out);
-  if (e.conn.concern == net::Concern::server) servers_.on(now, e, out);
-  if (e.conn.concern == net::Concern::journal) journal_.on(now, e, out);
-  if (e.conn.concern == net::Concern::sip) sip_.on(now, e, out);
-  if (e.conn.concern == net::Concern::trunk) trunk_->on(now, e, out);
-  if (e.conn.concern == net::Concern::collector) exporter_.on(now, e, out);
-}
-
-void Gatekeeper::on(Time now, const net::Datagram& e, Outbox& out) {
-  if (e.concern == net::Concern::sip) sip_.on(now, e, out);
-  if (e.concern == net::Concern::trunk) trunk_->on(now, e, out);
-}
-
-void Gatekeeper::on(Time now, const net::TimerFired& e, Outbox& out) {
-  if (e.key.concern == net::Concern::broker) out.tell(core::TimerRang{e.key.number});
-  if (e.key.concern == net::Concern::platform) platform_.on(now, e, out);
-  if (e.key.concern == net::Concern::server) servers_.on(now, e, out);
-  if (e.key.concern == net::Concern::journal) journal_.on(now, e, out);
-  if (e.key.concern == net::Concern::sip) sip_.on(now, e, out);
-  if (e.key.concern == net::Concern::trunk) trunk_->on(now, e, out);
-  if (e.key.concern == net::Concern::collector) exporter_.on(now, e, all_counters(), out);
-  if (e.key.concern == net::Concern::process) out.arm(net::Concern::process, 0, now + kLook);
-}
-
 void Gatekeeper::on(Time now, const net::StopAsked&, Outbox& out) {
   if (stop_asked_) return;
   stop_asked_ = now;
--- a/src/app/gatekeeper.h
+++ b/src/app/gatekeeper.h
@@ -3,17 +3,19 @@
 // effects.
 #pragma once
 
+#include <array>
 #include <functional>
 #include <optional>
 
-#include "app/outbox.h"
 #include "back/journal.h"
 #include "back/setup_servers.h"
 #include "back/sip_trunk.h"
 #include "config/config.h"
+#include "control/control.h"
 #include "core/broker.h"
 #include "front/platform.h"
 #include "front/sip.h"
+#include "net/outbox.h"
 #include "otlp/exporter.h"
 
 namespace graniterun {
@@ -28,18 +30,16 @@
 
  private:
   void on(Time now, const net::Started& e, Outbox& out);
-  void on(Time now, const net::Accepted& e, Outbox& out);
-  void on(Time now, const net::Connected& e, Outbox& out);
-  void on(Time now, const net::ConnectFailed& e, Outbox& out);
-  void on(Time now, const net::Received& e, Outbox& out);
-  void on(Time now, const net::Closed& e, Outbox& out);
-  void on(Time now, const net::Datagram& e, Outbox& out);
-  void on(Time now, const net::TimerFired& e, Outbox& out);
   void on(Time now, const net::StopAsked& e, Outbox& out);
   void on(Time now, const net::CountersAsked& e, Outbox& out);
   void on(Time now, const net::ReloadAsked& e, Outbox& out);
   void on(Time now, const net::FileRead& e, Outbox& out);
 
+  using Step = std::function<void(Time now, const net::Event& event, Outbox& out)>;
+  template <class Part>
+  static Step step_of(Part& part);
+  void wire();
+  core::Broker::Gate gate();
   void take_list(Time now, const HostList& list, ListKind kind, Outbox& out);
   const std::string& name_of(ServerId server) const;
   void settle(Time now, Outbox& out);
@@ -52,6 +52,7 @@
   DeployConfig deploy_;
   std::function<void(Counters&)> more_counters_;
   Counters counters_;
+  control::Control control_;
   core::Broker broker_;
   front::Platform platform_;
   front::Sip sip_;
@@ -60,6 +61,7 @@
   std::optional<back::SipTrunk> trunk_{};
   back::Journal journal_;
   otlp::Exporter exporter_;
+  std::array<Step, net::kConcerns> parts_{};  // who is told of a concern's events
   std::optional<Time> stop_asked_{};
 };
 
--- a/src/back/journal.cpp
+++ b/src/back/journal.cpp
@@ -86,20 +86,19 @@
   out.arm(net::Concern::journal, kWatch, now + kLook);
 }
 
-std::vector<HostList> Journal::on(Time now, const net::Received& e, Outbox& out) {
-  std::vector<HostList> lists;
-  if (!open_ || e.conn.number != connections_) return lists;
+void Journal::on(Time now, const net::Received& e, Outbox& out) {
+  if (!open_ || e.conn.number != connections_) return;
   heard_ = now;
   std::size_t used = 0;
   if (!head_) {
     http::Head head;
     const http::HeadState state = http::read_head(e.bytes, head);
-    if (state == http::HeadState::more) return lists;
+    if (state == http::HeadState::more) return;
     if (state == http::HeadState::malformed || head.status != 200) {
       counters_.add("journal.malformed");
       out.log(net::Level::warning, "the journal service answers what can't be used");
       drop(now, out);
-      return lists;
+      return;
     }
     head_ = head;
     body_.emplace(head);
@@ -109,7 +108,7 @@
   if (!taken || text_.size() > http::kEventBound) {
     counters_.add("journal.malformed");
     drop(now, out);
-    return lists;
+    return;
   }
   out.net.push_back(net::Consume{e.conn, used + *taken});
   while (const auto event = http::take_event(text_)) {
@@ -119,7 +118,7 @@
     counters_.add("journal.events");
     const auto data = nlohmann::json::parse(event->data, nullptr, false);
     try {
-      if (data.is_object() && data.contains("hosts")) lists.push_back(read_hosts(data["hosts"]));
+      if (data.is_object() && data.contains("hosts")) news_.push_back(read_hosts(data["hosts"]));
       if (position != 0) position_ = position;
     } catch (const BadConfig& trouble) {
       counters_.add("journal.malformed");
@@ -127,7 +126,6 @@
     }
   }
   if (body_->done()) drop(now, out);
-  return lists;
 }
 
 }  // namespace graniterun::back
--- a/src/back/journal.h
+++ b/src/back/journal.h
@@ -5,8 +5,8 @@
 #include <string>
 #include <vector>
 
-#include "app/outbox.h"
 #include "config/config.h"
+#include "net/outbox.h"
 #include "proto/http.h"
 
 namespace graniterun::back {
@@ -21,10 +21,11 @@
   void move(Time now, const std::string& address, Outbox& out);
   void on(Time now, const net::Connected& e, Outbox& out);
   void on(Time now, const net::ConnectFailed& e, Outbox& out);
-  // Returns the lists that have come, in order.
-  std::vector<HostList> on(Time now, const net::Received& e, Outbox& out);
+  void on(Time now, const net::Received& e, Outbox& out);
   void on(Time now, const net::Closed& e, Outbox& out);
   void on(Time now, const net::TimerFired& e, Outbox& out);
+  // The lists that have come since, in order.
+  std::vector<HostList> take_news() { return std::exchange(news_, {}); }
 
  private:
   void connect(Outbox& out);
@@ -42,6 +43,7 @@
   std::optional<http::Head> head_{};
   std::optional<http::Body> body_{};
   std::string text_{};
+  std::vector<HostList> news_{};
 };
 
 }  // namespace graniterun::back
--- a/src/back/setup_servers.h
+++ b/src/back/setup_servers.h
@@ -9,11 +9,11 @@
 #include <unordered_map>
 #include <vector>
 
-#include "app/outbox.h"
 #include "back/directory.h"
 #include "config/config.h"
 #include "core/counters.h"
 #include "core/due.h"
+#include "net/outbox.h"
 #include "proto/sip.h"
 
 namespace graniterun::back {
--- a/src/back/sip_trunk.h
+++ b/src/back/sip_trunk.h
@@ -8,11 +8,11 @@
 #include <unordered_map>
 #include <vector>
 
-#include "app/outbox.h"
 #include "back/directory.h"
 #include "core/counters.h"
 #include "core/due.h"
 #include "core/words.h"
+#include "net/outbox.h"
 #include "sip/transactions.h"
 
 namespace graniterun::back {
--- /dev/null
+++ b/src/cli/graniterunctl.cpp
@@ -0,0 +1,163 @@
+// graniterunctl: announces and lifts call gaps, lists and watches them, at many gatekeepers or an announcer.
+#include <unistd.h>
+
+#include <CLI/CLI.hpp>
+#include <csignal>
+#include <iostream>
+
+#include "control/ctl.h"
+#include "net/runtime.h"
+
+namespace {
+
+using namespace graniterun;
+using namespace graniterun::control;
+
+const char* const kFooter =
+    "When a hiker goes missing and everyone calls the same number:\n"
+    "  graniterunctl gap announce hiker --to 127.0.0.1:7400 --number 4711 --one-in 1s --for 2h\n"
+    "  graniterunctl gap list --to 127.0.0.1:7400            see that all obey\n"
+    "  graniterunctl gap lift hiker --to 127.0.0.1:7400      when it is over\n"
+    "--to is the announcer, or each gatekeeper's control address; GRANITERUN_CONTROL holds it for all "
+    "calls.\n"
+    "Exit status: 0 all obey, 1 some do not, 2 the call was wrong, 3 nobody was reached.";
+
+std::string user() {
+  const char* name = std::getenv("USER");
+  return name != nullptr ? name : "operator";
+}
+
+struct Options {
+  std::vector<std::string> to{};
+  std::string id{};
+  std::vector<std::string> numbers{};
+  std::vector<std::string> prefixes{};
+  std::vector<std::string> classes{};
+  std::string one_in{};
+  std::string lasts{"1h"};
+  std::string starts_in{"0ms"};
+  std::string within{"3s"};
+  std::string watch_for{"0ms"};
+  std::string words{};
+  std::string by{user()};
+  double percent = -1.0;
+  std::uint64_t version = 0;
+  int cause = 42;
+  bool each = false;
+  bool json = false;
+};
+
+// `1500ms`, `2s`, `10m`, `2h`: the unit has to be there.
+std::chrono::milliseconds duration_of(std::string text, const char* what) {
+  static const std::map<std::string, std::int64_t> kUnits{
+      {"ms", 1}, {"s", 1000}, {"m", 60'000}, {"h", 3'600'000}};
+  const std::size_t unit = text.find_first_not_of("0123456789.");
+  const auto known = unit == std::string::npos ? kUnits.end() : kUnits.find(text.substr(unit));
+  double figure = 0;
+  if (known == kUnits.end() || !CLI::detail::lexical_cast(text.substr(0, unit), figure) || figure > 1e7)
+    throw CLI::ValidationError(what, "'" + text + "' is not a time: write 500ms, 2s, 10m or 2h");
+  return std::chrono::milliseconds(static_cast<std::int64_t>(figure * static_cast<double>(known->second)));
+}
+
+limits::Announcement announcement_of(const Options& o, Time now, bool lifted) {
+  limits::Announcement a;
+  const std::int64_t ms = to_ms(now);
+  a.id = o.id;
+  a.by = o.by;
+  // The time as version: of two announcements the later one holds, and nobody has to ask which was the last.
+  a.version = o.version != 0 ? o.version : static_cast<std::uint64_t>(ms);
+  a.made = a.start = a.end = from_ms(ms);
+  if (lifted) return a;
+  a.start += duration_of(o.starts_in, "--in");
+  a.end = a.start + duration_of(o.lasts, "--for");
+  limits::Gap g;
+  g.criteria = {o.numbers, o.prefixes, o.classes};
+  g.treatment = {o.cause, o.words};
+  if (o.percent >= 0.0) {
+    if (!o.one_in.empty() || o.each)
+      throw CLI::ValidationError("--percent", "has no --one-in and no --each-number");
+    g.shape = limits::Shape::percentage;
+    g.percent = o.percent;
+  } else {
+    if (o.one_in.empty()) throw CLI::ValidationError("--one-in", "say how often one call passes, or 'none'");
+    g.shape = o.each ? limits::Shape::each_number : limits::Shape::whole;
+    if (o.one_in != "none") g.interval = duration_of(o.one_in, "--one-in");
+  }
+  a.gap = std::move(g);
+  if (const std::string trouble = limits::trouble_with(a, now); !trouble.empty())
+    throw CLI::ValidationError("gap", trouble);
+  return a;
+}
+
+int run(int argc, char** argv) {
+  Options o;
+  CLI::App app{"Announces call gaps to graniterun's gatekeepers, and lifts them."};
+  app.footer(kFooter);
+  app.require_subcommand(1);
+  CLI::App* gap = app.add_subcommand("gap", "call gaps: at most one call in an interval passes to a number");
+  gap->require_subcommand(1);
+  CLI::App* announce = gap->add_subcommand("announce", "announce a gap, or change one");
+  CLI::App* lift = gap->add_subcommand("lift", "lift a gap: all calls pass again");
+  CLI::App* list = gap->add_subcommand("list", "what each holds, and whether all hold the same");
+  CLI::App* watch = gap->add_subcommand("watch", "tell of every change as it happens");
+  for (CLI::App* sub : {announce, lift, list, watch}) {
+    sub->add_option("--to", o.to, "control addresses, address:port")
+        ->required()
+        ->envname("GRANITERUN_CONTROL")
+        ->delimiter(',');
+    sub->add_flag("--json", o.json, "JSON for programs");
+    sub->footer(kFooter);
+  }
+  for (CLI::App* sub : {announce, lift}) {
+    sub->add_option("id", o.id, "the gap's name")->required();
+    sub->add_option("--by", o.by, "who announces it");
+    sub->add_option("--version", o.version, "of two the higher one holds (default: the time)");
+  }
+  for (CLI::App* sub : {announce, lift, list})
+    sub->add_option("--within", o.within, "how long to wait for all to obey")->capture_default_str();
+  announce->add_option("--number", o.numbers, "a called number")->delimiter(',');
+  announce->add_option("--prefix", o.prefixes, "how called numbers begin")->delimiter(',');
+  announce->add_option("--class", o.classes, "only calls of this class")->delimiter(',');
+  announce->add_option("--one-in", o.one_in, "one call passes in so long (1s, 500ms), or 'none'");
+  announce->add_flag("--each-number", o.each, "count each called number under the prefix apart");
+  announce->add_option("--percent", o.percent, "this share of calls passes")->check(CLI::Range(0.0, 100.0));
+  announce->add_option("--for", o.lasts, "how long it holds, 24h at most")->capture_default_str();
+  announce->add_option("--in", o.starts_in, "when it begins, from now")->capture_default_str();
+  announce->add_option("--cause", o.cause, "Q.850 cause that callers are told")
+      ->check(CLI::IsMember({34, 42, 102}));
+  announce->add_option("--words", o.words, "words that callers are told");
+  watch->add_option("--for", o.watch_for, "how long to watch (0ms: until it is ended)")
+      ->capture_default_str();
+
+  CtlSettings s;
+  try {
+    app.parse(argc, argv);
+    s.to = o.to;
+    s.json = o.json;
+    s.within = duration_of(watch->parsed() ? o.watch_for : o.within, "--within");
+    s.what = list->parsed()    ? CtlSettings::What::list
+             : watch->parsed() ? CtlSettings::What::watch
+                               : CtlSettings::What::announce;
+    if (announce->parsed() || lift->parsed())
+      s.announcement = announcement_of(o, net::clock_now(), lift->parsed());
+  } catch (const CLI::ParseError& trouble) {
+    const int status = app.exit(trouble);
+    return status == 0 ? 0 : Ctl::kUsage;
+  }
+  Ctl ctl(std::move(s));
+  net::Runtime runtime({}, net::Logger(net::Level::warning));
+  return runtime.run(
+      [&ctl](Time now, const net::Event& event, net::Effects& effects) { ctl.step(now, event, effects); });
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  std::signal(SIGPIPE, SIG_IGN);
+  try {
+    return run(argc, argv);
+  } catch (const std::exception& trouble) {
+    std::cerr << "graniterunctl: " << trouble.what() << '\n';
+    return Ctl::kUsage;
+  }
+}
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -1,6 +1,7 @@
 #include "config/config.h"
 
 #include <algorithm>
+#include <cmath>
 #include <nlohmann/json.hpp>
 
 #include "proto/jsonl.h"
@@ -115,6 +116,7 @@
     std::string flat = "SETTINGS";
     flatten(settings, {}, flat);
     c.settings = wire::parse_settings(wire::Message(flat, 1));
+    if (settings.contains("me")) c.index = settings["me"].get<std::uint32_t>();
     if (settings.contains("areas")) c.areas = settings["areas"].get<std::vector<std::string>>();
     for (const json& one : need(settings, "classes")) c.class_names.push_back(text(one, "name"));
 
@@ -133,12 +135,55 @@
   }
 }
 
-DeployConfig read_deploy_config(std::string_view source, const std::vector<std::string>& class_names) {
-  const json whole = parse(source, "the deploy file");
+namespace {
+
+// A whole number of milliseconds, or of what is named; absent: what it was.
+std::int64_t whole(const json& object, const char* name, std::int64_t otherwise, std::int64_t least,
+                   std::int64_t most) {
+  const auto it = object.find(name);
+  if (it == object.end()) return otherwise;
+  const double value = number(*it, name);
+  if (!(value >= static_cast<double>(least) && value <= static_cast<double>(most)) ||
+      std::floor(value) != value)
+    throw BadConfig("'" + std::string(name) + "' is not a whole number from " + std::to_string(least) +
+                    " to " + std::to_string(most));
+  return static_cast<std::int64_t>(value);
+}
+
+control::ControlSettings read_control(const json& control, const json& gaps, limits::Fleet fleet) {
+  using std::chrono::milliseconds;
+  constexpr std::int64_t kDayMs = 86'400'000;
+  control::ControlSettings c;
+  c.listen = text(control, "listen");
+  c.most_connections = static_cast<std::size_t>(whole(control, "connections", 32, 1, 1024));
+  c.fleet.size = static_cast<std::uint32_t>(whole(gaps, "fleet_size", fleet.size, 1, 1024));
+  c.fleet.index = static_cast<std::uint32_t>(whole(gaps, "fleet_index", fleet.index, 0, 1023));
+  if (c.fleet.index >= c.fleet.size) throw BadConfig("'fleet_index' is not below 'fleet_size'");
+  c.wait_for_announcer = milliseconds(whole(gaps, "wait_for_announcer_ms", 0, 0, 60'000));
+  if (!gaps.contains("hot")) return c;
+  const json& hot = gaps["hot"];
+  limits::HotSettings h;
+  h.hot_from = static_cast<double>(whole(hot, "from_per_second", 20, 1, 1'000'000));
+  h.cool_below = static_cast<double>(whole(hot, "below_per_second", 5, 0, 1'000'000));
+  if (h.cool_below >= h.hot_from) throw BadConfig("'below_per_second' is not below 'from_per_second'");
+  h.hot_for = milliseconds(whole(hot, "hot_after_ms", 2000, 0, kDayMs));
+  h.cool_for = milliseconds(whole(hot, "cool_after_ms", 30'000, 0, kDayMs));
+  h.most_gaps = static_cast<std::size_t>(whole(hot, "gaps", 0, 0, 100));
+  c.hot = h;
+  c.hot_interval = milliseconds(whole(hot, "interval_ms", 1000, 10, kDayMs));
+  c.hot_lasts = milliseconds(whole(hot, "lasts_ms", 900'000, 1000, kDayMs));
+  return c;
+}
+
+}  // namespace
+
+DeployConfig read_deploy_config(std::string_view source, const std::vector<std::string>& class_names,
+                                limits::Fleet fleet) {
+  const json whole_file = parse(source, "the deploy file");
   try {
     DeployConfig c;
-    if (whole.contains("sip")) {
-      const json& sip = whole["sip"];
+    if (whole_file.contains("sip")) {
+      const json& sip = whole_file["sip"];
       if (sip.contains("udp")) c.sip_udp = text(sip, "udp");
       if (sip.contains("tcp")) c.sip_tcp = text(sip, "tcp");
       c.sip_server_transport = sip.value("servers", c.sip_server_transport);
@@ -147,7 +192,7 @@
         throw BadConfig("'servers' is not one of platform, udp, tcp");
       if (t != "platform") c.sip_servers_from = text(sip, "servers_from");
     }
-    for (const json& one : whole.value("contracts", json::array())) {
+    for (const json& one : whole_file.value("contracts", json::array())) {
       core::Contract contract;
       contract.team = one.value("team", std::string());
       if (one.contains("class")) {
@@ -163,8 +208,12 @@
       contract.burst = one.value("burst", std::max(1.0, contract.per_second.value_or(1.0)));
       c.contracts.push_back(std::move(contract));
     }
-    if (whole.contains("otlp")) {
-      const json& otlp = whole["otlp"];
+    if (whole_file.contains("gaps") && !whole_file.contains("control"))
+      throw BadConfig("'gaps' needs a 'control' with where to listen");
+    if (whole_file.contains("control"))
+      c.control = read_control(whole_file["control"], whole_file.value("gaps", json::object()), fleet);
+    if (whole_file.contains("otlp")) {
+      const json& otlp = whole_file["otlp"];
       c.collector = text(otlp, "collector");
       c.collector_host = otlp.value("host", *c.collector);
       c.export_every = std::chrono::milliseconds(otlp.value("every_ms", std::int64_t{5000}));
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -9,6 +9,7 @@
 #include <string_view>
 #include <vector>
 
+#include "control/settings.h"
 #include "core/contracts.h"
 #include "graniterun/controller.h"
 
@@ -48,6 +49,7 @@
   std::vector<HostList> known{};
   std::vector<std::string> areas{};
   std::vector<std::string> class_names{};
+  std::uint32_t index{};  // of this gatekeeper among settings.senders
   Settings settings{};
 };
 PlatformConfig read_platform_config(std::string_view text);  // throws BadConfig
@@ -61,8 +63,11 @@
   std::optional<std::string> collector{};  // OTLP over HTTP
   std::string collector_host{};
   Duration export_every{std::chrono::seconds(5)};
+  std::optional<control::ControlSettings> control{};  // absent: no gaps can be announced
 };
-// Throws BadConfig. Class names are those of the platform's configuration.
-DeployConfig read_deploy_config(std::string_view text, const std::vector<std::string>& class_names);
+// Throws BadConfig. Class names and the fleet, where the file does not say it, are those of the platform's
+// configuration.
+DeployConfig read_deploy_config(std::string_view text, const std::vector<std::string>& class_names,
+                                limits::Fleet fleet = {});
 
 }  // namespace graniterun
--- /dev/null
+++ b/src/control/announcer.cpp
@@ -0,0 +1,481 @@
+#include "control/announcer.h"
+
+namespace graniterun::control {
+namespace {
+
+using nlohmann::json;
+using namespace std::chrono_literals;
+using namespace limits;
+
+constexpr Duration kTick = 50ms;
+constexpr Duration kReconnect = 250ms;
+constexpr Duration kConnectWithin = 1s;
+constexpr Duration kAsk = 500ms;      // whether a gatekeeper holds the same
+constexpr Duration kSilent = 2500ms;  // one that answers nothing for so long is lost
+constexpr Duration kIdle = 60s;
+constexpr Duration kToldFor = 30s;    // of gatekeepers' answers
+constexpr Duration kDealKept = 10s;   // a gap that nobody calls for so long is no longer dealt
+constexpr std::size_t kUnheard = 64;  // gaps pushed to a gatekeeper that it has not answered yet
+constexpr std::size_t kMostDeals = 4096;
+constexpr std::size_t kMostWaiting = 256;
+constexpr std::size_t kPage = 200;
+constexpr std::size_t kMostSlots = 1024;
+
+}  // namespace
+
+Announcer::Announcer(AnnouncerSettings settings)
+    : settings_(std::move(settings)),
+      keeper_(settings_.most_connections, kIdle),
+      register_({}, settings_.life, {}) {
+  for (const std::string& address : settings_.gatekeepers) {
+    Gatekeeper g;
+    g.address = address;
+    gatekeepers_.push_back(std::move(g));
+  }
+}
+
+void Announcer::step(Time now, const net::Event& event, net::Effects& effects) {
+  Outbox out;
+  std::visit(
+      [&](const auto& e) {
+        if constexpr (requires { on(now, e, out); }) on(now, e, out);
+      },
+      event);
+  effects = std::move(out.net);
+}
+
+// ---- its own file
+
+void Announcer::on(Time now, const net::Started&, Outbox& out) {
+  if (!settings_.file.empty()) {
+    out.net.push_back(net::ReadFile{settings_.file});
+  } else {
+    on(now, net::FileRead{}, out);
+  }
+}
+
+// Only with its register loaded does it speak to anyone: an empty one must not look like the whole.
+void Announcer::on(Time now, const net::FileRead& e, Outbox& out) {
+  if (std::exchange(loaded_, true)) return;
+  std::size_t bad = 0;
+  if (e.text) {
+    const auto used = read_lines(
+        *e.text,
+        [&](const json& line) {
+          const Taken taken = register_.announce(now, announcement_of(line));
+          bad += taken == Taken::refused || taken == Taken::full ? 1 : 0;
+        },
+        [&](const json&, const std::string&) { ++bad; });
+    if (!used || *used != e.text->size()) ++bad;
+    out.log(net::Level::info, settings_.file + ": " + std::to_string(register_.size()) + " gaps are held");
+  }
+  if (bad > 0) {
+    // It is replaced whole, so this is no torn write: somebody has to look before it is written over.
+    out.log(net::Level::error, settings_.file + " holds " + std::to_string(bad) +
+                                   " lines that can't be read: mend it or move it away");
+    out.net.push_back(net::Exit{1});
+    return;
+  }
+  out.net.push_back(net::Listen{net::Concern::control, settings_.listen});
+  out.arm(net::Concern::control, 0, now);
+  out.log(net::Level::info, settings_.name + " listens on " + settings_.listen + " for " +
+                                std::to_string(gatekeepers_.size()) + " gatekeepers");
+}
+
+void Announcer::save(Time now, Outbox& out) {
+  if (settings_.file.empty()) return;
+  std::string text;
+  for (const GapState& state : register_.list(now)) text += line_of(to_json(*state.announcement));
+  out.net.push_back(net::WriteFile{settings_.file, std::move(text)});
+}
+
+// ---- gatekeepers
+
+Announcer::Gatekeeper* Announcer::of(net::ConnId conn) {
+  for (Gatekeeper& g : gatekeepers_) {
+    if (conn.concern == net::Concern::announced && g.conn == conn.number) return &g;
+  }
+  return nullptr;
+}
+
+void Announcer::send(const Gatekeeper& g, const json& line, Outbox& out) const {
+  out.send({net::Concern::announced, g.conn}, line_of(line));
+}
+
+void Announcer::on(Time now, const net::Connected& e, Outbox& out) {
+  Gatekeeper* g = of(e.conn);
+  if (g == nullptr) return out.close(e.conn);
+  g->up = true;
+  g->heard = g->asked = now;
+  g->unheard = 0;
+  counters_.add("announcer.gatekeepers_reached");
+  send(*g, {{"op", "announcer"}, {"life", mark_text(settings_.life)}}, out);
+  begin(now, *g, out);
+}
+
+// All that is held is pushed, and what the gatekeeper holds is asked for: it may have heard of gaps while no
+// announcer was there.
+void Announcer::begin(Time now, Gatekeeper& g, Outbox& out) {
+  g.synced = false;
+  g.pushed_to.clear();
+  g.again.clear();
+  send(g, {{"op", "list"}}, out);
+  push(now, g, out);
+}
+
+// Whether it is still there, and holds the same.
+void Announcer::ask(Time now, Gatekeeper& g, Outbox& out) {
+  if (now - g.heard > kSilent) {
+    const net::ConnId conn{net::Concern::announced, g.conn};
+    lost(now, g, out);
+    return out.close(conn);
+  }
+  if (now - g.asked < kAsk || !g.synced || g.unheard > 0) return;
+  g.asked = now;
+  send(g, {{"op", "synced"}}, out);
+}
+
+void Announcer::on(Time now, const net::ConnectFailed& e, Outbox&) {
+  if (Gatekeeper* g = of(e.conn)) {
+    g->conn = 0;
+    g->next_connect = now + kReconnect;
+  }
+}
+
+void Announcer::lost(Time now, Gatekeeper& g, Outbox& out) {
+  out.log(net::Level::warning, "gatekeeper " + g.address + " is lost: it will be pushed all when it is back");
+  counters_.add("announcer.gatekeepers_lost");
+  g.up = g.synced = false;
+  g.conn = 0;
+  g.next_connect = now + kReconnect;
+}
+
+// In order of ids, so many at a time; what changes behind that place is pushed once more.
+void Announcer::push(Time now, Gatekeeper& g, Outbox& out) {
+  if (!g.up) return;
+  while (g.unheard < kUnheard && !g.again.empty()) {
+    const std::string id = *g.again.begin();
+    g.again.erase(g.again.begin());
+    if (const Announcement* a = register_.find(id)) {
+      send(g, {{"op", "announce"}, {"gap", to_json(*a)}}, out);
+      ++g.unheard;
+    }
+  }
+  if (g.synced || g.unheard >= kUnheard) return;
+  const std::size_t room = kUnheard - g.unheard;
+  const auto next = register_.list(now, g.pushed_to, room);
+  for (const GapState& state : next) {
+    send(g, {{"op", "announce"}, {"gap", to_json(*state.announcement)}}, out);
+    g.pushed_to = state.announcement->id;
+    ++g.unheard;
+  }
+  if (next.size() < room) {
+    g.synced = true;
+    send(g, {{"op", "synced"}}, out);
+  }
+}
+
+void Announcer::from_gatekeeper(Time now, Gatekeeper& g, const json& line, Outbox& out) {
+  g.heard = now;
+  if (line.contains("gatekeeper")) g.name = text_in(line, "gatekeeper");
+  if (line.contains("event")) {
+    const std::string event = text_in(line, "event");
+    if (event == "report") return report(now, g, line);
+    if (event == "cede") return ceded(now, g, line, out);
+    if (event == "gap" && line.contains("gap")) hold(now, announcement_of(line["gap"]), out);
+    for (const net::ConnId conn : watchers_) out.send(conn, line_of(line));
+    return;
+  }
+  const std::string re = line.contains("re") ? text_in(line, "re") : "";
+  if (re == "announcer") {
+    const auto size = static_cast<std::size_t>(whole_in(line, "fleet", 1, 1024));
+    g.index = static_cast<std::uint32_t>(whole_in(line, "index", 0, static_cast<std::int64_t>(size) - 1));
+    if (size != gatekeepers_.size()) {
+      out.log(net::Level::warning, "gatekeeper " + g.address + " is set to a fleet of " +
+                                       std::to_string(size) + ", and " + std::to_string(gatekeepers_.size()) +
+                                       " are pushed to: no slots are dealt to it");
+      g.index.reset();
+    }
+    return;
+  }
+  if (re == "synced" && text_in(line, "digest") != mark_text(register_.digest()) && g.synced &&
+      g.unheard == 0 && g.again.empty()) {
+    counters_.add("announcer.digests_differ");
+    return begin(now, g, out);
+  }
+  if (re == "list") {
+    const auto gaps = line.find("gaps");
+    if (gaps == line.end() || !gaps->is_array() || gaps->empty()) return;
+    for (const json& gap : *gaps) hold(now, announcement_of(gap), out);
+    if (line.value("more", false)) send(g, {{"op", "list"}, {"after", text_in(gaps->back(), "id")}}, out);
+    return;
+  }
+  if (re != "announce") return;
+  if (g.unheard > 0) --g.unheard;
+  const std::string id = text_in(line, "id");
+  const auto version = static_cast<std::uint64_t>(whole_in(line, "version", 1, std::int64_t{1} << 52));
+  // It holds something newer, or stricter: that is news for all.
+  if (line.contains("held")) hold(now, announcement_of(line["held"]), out);
+  if (const auto it = waiting_.find(id); it != waiting_.end()) {
+    json told = line;
+    told["event"] = "obeyed";
+    told["address"] = g.address;
+    for (const Waiting& w : it->second) {
+      if (w.version <= version) out.send(w.conn, line_of(told));
+    }
+  }
+  push(now, g, out);
+}
+
+// ---- slots
+
+void Announcer::report(Time now, Gatekeeper& g, const json& line) {
+  if (!g.index) return;
+  const Duration span = std::chrono::milliseconds(whole_in(line, "span_ms", 0, 60'000));
+  const auto demands = line.find("demands");
+  if (demands == line.end() || !demands->is_array()) throw BadLine("a report has no 'demands'");
+  const auto size = static_cast<std::uint32_t>(gatekeepers_.size());
+  std::map<std::string, double> asked;
+  for (const json& d : *demands) {
+    const std::string id = text_in(d, "id");
+    const std::uint64_t mark = mark_in(d, "mark");
+    const Announcement* a = register_.find(id);
+    // Slots are those of what all are to hold; a gatekeeper that still has another version waits.
+    if (a == nullptr || !a->gap || a->gap->interval.value_or(0ms) <= 0ms || mark_of(*a) != mark) continue;
+    auto it = deals_.find(id);
+    if (it != deals_.end() && it->second.mark != mark) {
+      deals_.erase(it);
+      it = deals_.end();
+    }
+    if (it == deals_.end()) {
+      if (deals_.size() >= kMostDeals) continue;
+      const std::uint64_t life = settings_.life;
+      it = deals_.emplace(id, Deal{mark, Dealer(size, *a->gap->interval, life), now}).first;
+    }
+    it->second.asked = now;
+    asked[id] = static_cast<double>(whole_in(d, "calls", 0, 1'000'000'000));
+  }
+  for (auto& [id, deal] : deals_) {
+    const auto it = asked.find(id);
+    deal.dealer.hear_demand(now, *g.index, it == asked.end() ? 0.0 : it->second, span);
+  }
+}
+
+void Announcer::ceded(Time now, Gatekeeper& g, const json& line, Outbox& out) {
+  const std::string id = text_in(line, "id");
+  const auto it = deals_.find(id);
+  const auto slots = line.find("slots");
+  if (it == deals_.end() || !g.index || slots == line.end() || !slots->is_array() ||
+      slots->size() > kMostSlots || it->second.mark != mark_in(line, "mark"))
+    return;
+  std::vector<Slot> given;
+  for (const json& one : *slots) {
+    if (one.is_number_unsigned()) given.push_back(one.get<Slot>());
+  }
+  counters_.add("announcer.slots_ceded", given.size());
+  for (const auto& [to, granted] : it->second.dealer.deal(now, mark_in(line, "life"), *g.index, given)) {
+    json pairs = json::array();
+    for (const SlotOf& s : granted) pairs.push_back({s.slot, s.owner});
+    for (const Gatekeeper& other : gatekeepers_) {
+      if (!other.up || other.index != to) continue;
+      counters_.add("announcer.slots_granted", granted.size());
+      send(other, {{"op", "grant"}, {"id", id}, {"mark", line["mark"]}, {"slots", pairs}}, out);
+      break;  // never to two
+    }
+  }
+}
+
+// ---- operators
+
+void Announcer::on(Time now, const net::Accepted& e, Outbox& out) {
+  operators_.insert(e.conn);
+  keeper_.accepted(now, e.conn);
+  if (const auto conn = keeper_.too_many([this](net::ConnId c) { return watchers_.contains(c); }))
+    close(now, *conn, out);
+}
+
+void Announcer::close(Time now, net::ConnId conn, Outbox& out) {
+  out.close(conn);
+  on(now, net::Closed{conn, false}, out);
+}
+
+void Announcer::on(Time now, const net::Closed& e, Outbox& out) {
+  if (Gatekeeper* g = of(e.conn)) return lost(now, *g, out);
+  keeper_.closed(e.conn);
+  operators_.erase(e.conn);
+  watchers_.erase(e.conn);
+  for (auto& [id, all] : waiting_) std::erase_if(all, [&](const Waiting& w) { return w.conn == e.conn; });
+}
+
+void Announcer::reply(Time now, net::ConnId conn, const json& line, json answer, Outbox& out) {
+  answer["gatekeeper"] = settings_.name;
+  answer["announcer"] = true;
+  answer["clock"] = to_ms(now);
+  if (const auto op = line.find("op"); op != line.end() && op->is_string()) answer["re"] = *op;
+  out.send(conn, line_of(answer));
+}
+
+void Announcer::on(Time now, const net::Received& e, Outbox& out) {
+  const bool operators = e.conn.concern == net::Concern::control;
+  if (!operators && of(e.conn) == nullptr) return;
+  bool whole = false;
+  const auto used = read_lines(
+      e.bytes,
+      [&](const json& line) {
+        whole = true;
+        if (operators) return from_operator(now, e.conn, line, out);
+        if (Gatekeeper* g = of(e.conn)) from_gatekeeper(now, *g, line, out);
+      },
+      [&](const json& line, const std::string& trouble) {
+        whole = true;
+        counters_.add("announcer.malformed");
+        refused_.line(now, "a line is refused: " + trouble, out);
+        if (operators) reply(now, e.conn, line, {{"ok", false}, {"trouble", trouble}}, out);
+      });
+  if (!used) {
+    counters_.add("announcer.malformed");
+    if (operators)
+      reply(now, e.conn, json::object(), {{"ok", false}, {"trouble", "the line has no end within 32 KiB"}},
+            out);
+    return close(now, e.conn, out);
+  }
+  if (operators) keeper_.heard(now, e.conn, whole, *used < e.bytes.size());
+  out.net.push_back(net::Consume{e.conn, *used});
+}
+
+// Into the register and the file, and on to every gatekeeper.
+Taken Announcer::hold(Time now, const Announcement& a, Outbox& out) {
+  const Taken taken = register_.announce(now, a);
+  counters_.add("announcer." + std::string(word_of(taken)));
+  if (taken != Taken::taken && taken != Taken::conflict_over) return taken;
+  out.log(net::Level::info, (a.gap ? "gap " : "the lift of gap ") + a.id + ", version " +
+                                std::to_string(a.version) + " by '" + a.by + "', is taken");
+  save(now, out);
+  for (Gatekeeper& g : gatekeepers_) {
+    if (!g.up) continue;
+    // One that is still being pushed the whole, in order of ids, comes to it by itself.
+    if (g.synced || a.id <= g.pushed_to) g.again.insert(a.id);
+    push(now, g, out);
+  }
+  return taken;
+}
+
+json Announcer::state_of(const Gatekeeper& g) const {
+  return {{"address", g.address}, {"name", g.name}, {"up", g.up}, {"synced", g.synced && g.unheard == 0}};
+}
+
+void Announcer::from_operator(Time now, net::ConnId conn, const json& line, Outbox& out) {
+  const std::string op = text_in(line, "op");
+  if (op == "watch") {
+    watchers_.insert(conn);
+    return reply(now, conn, line, {{"ok", true}}, out);
+  }
+  if (op == "list") {
+    json gaps = json::array();
+    std::size_t bytes = 0;
+    bool more = false;
+    for (const GapState& state :
+         register_.list(now, line.contains("after") ? text_in(line, "after") : "", kPage + 1)) {
+      json gap = to_json(*state.announcement);
+      gap["in_force"] = state.in_force;
+      bytes += gap.dump().size() + 1;
+      more = gaps.size() >= kPage || (bytes > kLargestGap && !gaps.empty());
+      if (more) break;
+      gaps.push_back(std::move(gap));
+    }
+    json fleet = json::array();
+    for (const Gatekeeper& g : gatekeepers_) fleet.push_back(state_of(g));
+    return reply(now, conn, line,
+                 {{"ok", true},
+                  {"digest", mark_text(register_.digest())},
+                  {"held", register_.size()},
+                  {"gaps", std::move(gaps)},
+                  {"fleet", std::move(fleet)},
+                  {"more", more}},
+                 out);
+  }
+  if (op != "announce") throw BadLine("'op' is not one of announce, list, watch");
+  const auto gap = line.find("gap");
+  if (gap == line.end()) throw BadLine("there is no 'gap'");
+  const Announcement a = announcement_of(*gap);
+  // Before it is pushed: answers may come within the step.
+  if (waiting_.size() < kMostWaiting || waiting_.contains(a.id)) {
+    auto& waiting = waiting_[a.id];
+    if (waiting.size() < kMostWaiting) waiting.push_back({conn, a.version, now + kToldFor});
+  }
+  const Taken taken = hold(now, a, out);
+  std::size_t reached = 0;
+  for (const Gatekeeper& g : gatekeepers_) reached += g.up ? 1 : 0;
+  json answer = {{"ok", taken == Taken::taken || taken == Taken::known || taken == Taken::conflict_over},
+                 {"result", word_of(taken)},
+                 {"id", a.id},
+                 {"version", a.version},
+                 {"gatekeepers", gatekeepers_.size()},
+                 {"pushed_to", reached}};
+  if (taken == Taken::refused) answer["trouble"] = trouble_with(a, now);
+  if (taken == Taken::full) answer["trouble"] = "there is no room for another gap";
+  if (taken == Taken::older || taken == Taken::conflict) answer["held"] = to_json(*register_.find(a.id));
+  reply(now, conn, line, std::move(answer), out);
+  if (taken == Taken::known) {  // each tells once more that it obeys
+    for (Gatekeeper& g : gatekeepers_) {
+      if (!g.up) continue;
+      g.again.insert(a.id);
+      push(now, g, out);
+    }
+  }
+  if (taken != Taken::conflict && taken != Taken::conflict_over) return;
+  const json quarrel = {{"event", "conflict"},  {"gatekeeper", settings_.name},
+                        {"clock", to_ms(now)},  {"id", a.id},
+                        {"version", a.version}, {"held", to_json(*register_.find(a.id))}};
+  for (const net::ConnId other : operators_) out.send(other, line_of(quarrel));
+}
+
+// ---- time
+
+void Announcer::on(Time now, const net::TimerFired& e, Outbox& out) {
+  if (e.key.concern != net::Concern::control) return;
+  out.arm(net::Concern::control, 0, now + kTick);
+  for (Gatekeeper& g : gatekeepers_) {
+    if (g.up) ask(now, g, out);
+    if (g.conn != 0 || now < g.next_connect) continue;
+    g.conn = ++last_conn_;
+    out.net.push_back(net::Connect{{net::Concern::announced, g.conn}, g.address, kConnectWithin});
+  }
+  for (const net::ConnId conn : keeper_.due(now, [this](net::ConnId c) { return watchers_.contains(c); }))
+    close(now, conn, out);
+  for (auto it = waiting_.begin(); it != waiting_.end();) {
+    std::erase_if(it->second, [now](const Waiting& w) { return w.until <= now; });
+    it = it->second.empty() ? waiting_.erase(it) : std::next(it);
+  }
+  for (auto it = deals_.begin(); it != deals_.end();) {
+    const Announcement* a = register_.find(it->first);
+    if (now - it->second.asked > kDealKept || a == nullptr || !a->gap) {
+      it = deals_.erase(it);
+      continue;
+    }
+    Dealer& dealer = it->second.dealer;
+    if (a->gap->interval && *a->gap->interval > Duration{})
+      dealer.drop_before((now - a->start) / *a->gap->interval - 1);
+    const std::vector<double> demand = dealer.demand(now);
+    const json told = {
+        {"op", "demand"}, {"id", it->first}, {"mark", mark_text(it->second.mark)}, {"calls", demand}};
+    for (const Gatekeeper& g : gatekeepers_) {
+      if (g.up && g.index) send(g, told, out);
+    }
+    ++it;
+  }
+}
+
+void Announcer::on(Time now, const net::StopAsked&, Outbox& out) {
+  save(now, out);
+  out.log(net::Level::info, settings_.name + " ends");
+  out.net.push_back(net::Exit{0});
+}
+
+void Announcer::on(Time, const net::CountersAsked&, Outbox& out) {
+  std::string text;
+  for (const auto& [name, value] : counters_.all()) text += name + " " + std::to_string(value) + "\n";
+  out.net.push_back(net::Print{text});
+}
+
+}  // namespace graniterun::control
--- /dev/null
+++ b/src/control/announcer.h
@@ -0,0 +1,107 @@
+// The announcer: holds the register of call gaps for a fleet, pushes every change to every gatekeeper, pushes
+// all of it to one that starts or comes back, and deals the fleet's slots by demand. Operators speak to it as
+// they do to a gatekeeper. What it holds stands in a file of its own, replaced whole before an operator is
+// told that it is taken: killed at any moment, it goes on where it was. A reducer: the runtime does the I/O.
+//
+// Several announcers of one fleet do no harm: the register converges, and each slot is granted by the one it
+// was ceded to. Memory: the register, and a number for each gatekeeper and gap that is asked about.
+#pragma once
+
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "control/gap_json.h"
+#include "core/counters.h"
+#include "front/keeper.h"
+#include "net/outbox.h"
+
+namespace graniterun::control {
+
+struct AnnouncerSettings {
+  std::string listen{};
+  std::vector<std::string> gatekeepers{};  // addresses of their control listeners
+  std::string file{};                      // empty: nothing is kept
+  std::string name{"announcer"};
+  std::uint64_t life{};  // another number at each start
+  std::size_t most_connections = 64;
+};
+
+class Announcer {
+ public:
+  explicit Announcer(AnnouncerSettings settings);
+
+  void step(Time now, const net::Event& event, net::Effects& effects);
+  const Counters& counters() const { return counters_; }
+  std::uint64_t digest() const { return register_.digest(); }
+
+ private:
+  struct Gatekeeper {
+    std::string address{};
+    std::string name{};
+    std::uint32_t conn = 0;  // the last one asked for
+    bool up = false;
+    bool synced = false;  // it has been pushed all
+    std::optional<std::uint32_t> index{};
+    std::string pushed_to{};        // ids up to here have been pushed, in order
+    std::size_t unheard = 0;        // pushed and not answered
+    std::set<std::string> again{};  // changed since they were pushed
+    Time next_connect{};
+    Time heard{};
+    Time asked{};  // last, whether it holds the same
+  };
+  struct Deal {
+    std::uint64_t mark{};
+    limits::Dealer dealer;
+    Time asked{};
+  };
+  // Operators who are told of each gatekeeper's answer to what they announced.
+  struct Waiting {
+    net::ConnId conn{};
+    std::uint64_t version{};
+    Time until{};
+  };
+
+  void on(Time now, const net::Started& e, Outbox& out);
+  void on(Time now, const net::FileRead& e, Outbox& out);
+  void on(Time now, const net::Accepted& e, Outbox& out);
+  void on(Time now, const net::Connected& e, Outbox& out);
+  void on(Time now, const net::ConnectFailed& e, Outbox& out);
+  void on(Time now, const net::Received& e, Outbox& out);
+  void on(Time now, const net::Closed& e, Outbox& out);
+  void on(Time now, const net::TimerFired& e, Outbox& out);
+  void on(Time now, const net::StopAsked& e, Outbox& out);
+  void on(Time now, const net::CountersAsked& e, Outbox& out);
+
+  void from_operator(Time now, net::ConnId conn, const nlohmann::json& line, Outbox& out);
+  void from_gatekeeper(Time now, Gatekeeper& g, const nlohmann::json& line, Outbox& out);
+  void report(Time now, Gatekeeper& g, const nlohmann::json& line);
+  void ceded(Time now, Gatekeeper& g, const nlohmann::json& line, Outbox& out);
+  limits::Taken hold(Time now, const limits::Announcement& a, Outbox& out);
+  void save(Time now, Outbox& out);
+  void push(Time now, Gatekeeper& g, Outbox& out);
+  void send(const Gatekeeper& g, const nlohmann::json& line, Outbox& out) const;
+  void reply(Time now, net::ConnId conn, const nlohmann::json& line, nlohmann::json answer, Outbox& out);
+  void close(Time now, net::ConnId conn, Outbox& out);
+  void begin(Time now, Gatekeeper& g, Outbox& out);
+  void ask(Time now, Gatekeeper& g, Outbox& out);
+  void lost(Time now, Gatekeeper& g, Outbox& out);
+  Gatekeeper* of(net::ConnId conn);
+  nlohmann::json state_of(const Gatekeeper& g) const;
+
+  AnnouncerSettings settings_;
+  Counters counters_;
+  SeldomWarning refused_;
+  front::Keeper keeper_;
+  limits::GapRegister register_;
+  std::vector<Gatekeeper> gatekeepers_;
+  std::map<std::string, Deal> deals_;
+  std::map<std::string, std::vector<Waiting>> waiting_;  // by id
+  std::set<net::ConnId> watchers_;
+  std::set<net::ConnId> operators_;
+  std::uint32_t last_conn_ = 0;
+  bool loaded_ = false;
+};
+
+}  // namespace graniterun::control
--- /dev/null
+++ b/src/control/control.cpp
@@ -0,0 +1,322 @@
+#include "control/control.h"
+
+namespace graniterun::control {
+namespace {
+
+using nlohmann::json;
+using namespace std::chrono_literals;
+using namespace limits;
+
+constexpr Duration kTick = 50ms;
+constexpr Duration kReport = 100ms;
+constexpr Duration kLook = 200ms;
+constexpr Duration kIdle = 60s;
+// Slots of the fleet are ceded so far ahead of their time.
+constexpr Duration kAhead = 1s;
+constexpr std::size_t kMostDemands = 100;  // in a report
+constexpr std::size_t kPage = 200;         // gaps of a list's answer, within kLargestGap bytes
+constexpr std::size_t kMostSlotsTold = 1024;
+constexpr std::size_t kMostHot = 20;  // numbers of a list's answer, the hottest
+
+}  // namespace
+
+Control::Control(ControlSettings settings, Counters& counters)
+    : settings_(std::move(settings)), counters_(counters), keeper_(settings_.most_connections, kIdle) {
+  if (settings_.longest_wait <= Duration{}) settings_.longest_wait = 2s;
+  if (settings_.hot) hot_.emplace(*settings_.hot);
+}
+
+void Control::start(Time now, Outbox& out) {
+  started_ = reported_ = now;
+  register_.emplace(settings_.fleet, settings_.seed, now, settings_.longest_wait);
+  if (!settings_.listen) return;
+  out.net.push_back(net::Listen{net::Concern::control, *settings_.listen});
+  out.arm(net::Concern::control, 0, now + kTick);
+}
+
+bool Control::ready(Time now) const {
+  return !settings_.listen || synced_ || now - started_ >= settings_.wait_for_announcer;
+}
+
+Verdict Control::check(Time now, std::string_view number, std::string_view class_name) {
+  if (hot_) hot_->called(now, number.substr(0, kLongestText));
+  Verdict verdict = register_->check(now, number, class_name);
+  if (!verdict.passes) counters_.add("gaps.gapped");
+  return verdict;
+}
+
+// ---- connections
+
+void Control::on(Time now, const net::Accepted& e, Outbox& out) {
+  counters_.add("control.connections");
+  peers_.try_emplace(e.conn);
+  keeper_.accepted(now, e.conn);
+  const auto busy = [this](net::ConnId conn) { return peers_.at(conn).watches || peers_.at(conn).life; };
+  if (const auto conn = keeper_.too_many(busy)) {
+    counters_.add("control.closed_for_room");
+    close(now, *conn, out);
+  }
+}
+
+void Control::on(Time, const net::Closed& e, Outbox&) {
+  keeper_.closed(e.conn);
+  peers_.erase(e.conn);
+  if (announcer_ == e.conn) announcer_.reset();
+}
+
+void Control::close(Time now, net::ConnId conn, Outbox& out) {
+  out.close(conn);
+  on(now, net::Closed{conn, false}, out);
+}
+
+void Control::on(Time now, const net::Received& e, Outbox& out) {
+  bool whole = false;
+  const auto used = read_lines(
+      e.bytes,
+      [&](const json& line) {
+        whole = true;
+        take(now, e.conn, line, out);
+      },
+      [&](const json& line, const std::string& trouble) {
+        whole = true;
+        counters_.add("control.malformed");
+        refused_.line(now, "a control line is refused: " + trouble, out);
+        reply(now, e.conn, line, {{"ok", false}, {"trouble", trouble}}, out);
+      });
+  if (!used) {
+    counters_.add("control.malformed");
+    refused_.line(now, "a control line is refused: it has no end within 32 KiB", out);
+    reply(now, e.conn, json::object(), {{"ok", false}, {"trouble", "the line has no end within 32 KiB"}},
+          out);
+    return close(now, e.conn, out);
+  }
+  keeper_.heard(now, e.conn, whole, *used < e.bytes.size());
+  out.net.push_back(net::Consume{e.conn, *used});
+}
+
+void Control::on(Time now, const net::TimerFired&, Outbox& out) {
+  out.arm(net::Concern::control, 0, now + kTick);
+  const auto busy = [this](net::ConnId conn) { return peers_.at(conn).watches || peers_.at(conn).life; };
+  for (const net::ConnId conn : keeper_.due(now, busy)) {
+    counters_.add("control.closed_idle");
+    close(now, conn, out);
+  }
+  if (now - reported_ >= kReport) report(now, out);
+  if (hot_ && now - looked_ >= kLook) look(now, out);
+}
+
+// ---- lines
+
+void Control::reply(Time now, net::ConnId conn, const json& line, json answer, Outbox& out) {
+  answer["gatekeeper"] = settings_.name;
+  answer["clock"] = to_ms(now);
+  if (const auto op = line.find("op"); op != line.end() && op->is_string()) answer["re"] = *op;
+  out.send(conn, line_of(answer));
+}
+
+template <class To>
+void Control::tell(const json& event, To to, Outbox& out) {
+  const std::string line = line_of(event);
+  for (const auto& [conn, peer] : peers_) {
+    if (to(conn, peer)) out.send(conn, line);
+  }
+}
+
+void Control::take(Time now, net::ConnId conn, const json& line, Outbox& out) {
+  const std::string op = text_in(line, "op");
+  Peer& peer = peers_.at(conn);
+  if (op == "announce") return announce(now, conn, line, out);
+  if (op == "list") return list(now, conn, line, out);
+  if (op == "watch") {
+    peer.watches = true;
+    return reply(now, conn, line, {{"ok", true}}, out);
+  }
+  if (op == "announcer") {
+    peer.life = mark_in(line, "life");
+    announcer_ = conn;  // the latest: an older one may be a connection that died unseen
+    counters_.add("control.announcers");
+    out.log(net::Level::info, "an announcer of gaps is here");
+    // Whatever was missed while it was away, or before this program started, is asked for.
+    return reply(now, conn, line,
+                 {{"ok", true},
+                  {"want", "all"},
+                  {"fleet", settings_.fleet.size},
+                  {"index", settings_.fleet.index},
+                  {"digest", mark_text(register_->digest())}},
+                 out);
+  }
+  if (op == "synced") {
+    synced_ = true;
+    return reply(now, conn, line, {{"ok", true}, {"digest", mark_text(register_->digest())}}, out);
+  }
+  if (op == "demand") {
+    if (!peer.life) throw BadLine("only an announcer tells of demand");
+    const auto calls = line.find("calls");
+    if (calls == line.end() || !calls->is_array() || calls->size() != settings_.fleet.size)
+      throw BadLine("'calls' is not a list with a number for each gatekeeper");
+    std::vector<double> demand;
+    for (const json& one : *calls) {
+      if (!one.is_number() || !(one.get<double>() >= 0.0 && one.get<double>() < 1e9))
+        throw BadLine("'calls' holds what is no number of calls");
+      demand.push_back(one.get<double>());
+    }
+    if (announcer_ != conn) return;
+    const std::string id = text_in(line, "id");
+    const std::vector<Slot> slots = register_->cede(now, id, mark_in(line, "mark"), demand, kAhead);
+    if (slots.empty()) return;
+    counters_.add("gaps.slots_ceded", slots.size());
+    out.send(conn, line_of({{"event", "cede"},
+                            {"life", mark_text(*peer.life)},
+                            {"index", settings_.fleet.index},
+                            {"id", id},
+                            {"mark", line["mark"]},
+                            {"slots", slots}}));
+    return;
+  }
+  if (op == "grant") {
+    if (!peer.life) throw BadLine("only an announcer grants slots");
+    const auto given = line.find("slots");
+    if (given == line.end() || !given->is_array() || given->size() > kMostSlotsTold)
+      throw BadLine("'slots' is not a list of at most 1024 pairs");
+    std::vector<SlotOf> slots;
+    for (const json& one : *given) {
+      if (!one.is_array() || one.size() != 2 || !one[0].is_number_unsigned() ||
+          !one[1].is_number_unsigned() || one[1].get<std::uint64_t>() >= settings_.fleet.size ||
+          one[0].get<std::uint64_t>() > 1ULL << 62)
+        throw BadLine("'slots' holds what is no slot and gatekeeper");
+      slots.push_back({one[0].get<Slot>(), one[1].get<std::uint32_t>()});
+    }
+    counters_.add("gaps.slots_granted", slots.size());
+    return register_->grant(now, text_in(line, "id"), mark_in(line, "mark"), slots);
+  }
+  throw BadLine("'op' is not one of announce, list, watch, announcer, synced, demand, grant");
+}
+
+// Takes an announcement into the register, wherever it came from, and tells those who watch.
+Taken Control::hold(Time now, const Announcement& a, Outbox& out) {
+  const Taken taken = register_->announce(now, a);
+  counters_.add("gaps." + std::string(word_of(taken)));
+  if (taken != Taken::taken && taken != Taken::conflict_over) return taken;
+  out.log(net::Level::info, (a.gap ? "gap " : "the lift of gap ") + a.id + ", version " +
+                                std::to_string(a.version) + " by '" + a.by + "', is taken");
+  tell(
+      {{"event", "gap"}, {"gatekeeper", settings_.name}, {"clock", to_ms(now)}, {"gap", to_json(a)}},
+      [](net::ConnId, const Peer& p) { return p.watches || p.life; }, out);
+  return taken;
+}
+
+void Control::announce(Time now, net::ConnId conn, const json& line, Outbox& out) {
+  const auto gap = line.find("gap");
+  if (gap == line.end()) throw BadLine("there is no 'gap'");
+  const Announcement a = announcement_of(*gap);
+  std::optional<Announcement> before;
+  if (const Announcement* held = register_->find(a.id)) before = *held;
+  peers_.at(conn).announced = true;
+  const Taken taken = hold(now, a, out);
+  json answer = {{"ok", taken == Taken::taken || taken == Taken::known || taken == Taken::conflict_over},
+                 {"result", word_of(taken)},
+                 {"id", a.id},
+                 {"version", a.version}};
+  if (taken == Taken::refused) answer["trouble"] = trouble_with(a, now);
+  if (taken == Taken::full) answer["trouble"] = "there is no room for another gap";
+  if (taken == Taken::older || taken == Taken::conflict) answer["held"] = to_json(*register_->find(a.id));
+  reply(now, conn, line, std::move(answer), out);
+  if (taken != Taken::conflict && taken != Taken::conflict_over) return;
+  // Both announcers are told, and whoever watches: which connection the other one used is not known for sure.
+  out.log(net::Level::warning, "gap " + a.id + ", version " + std::to_string(a.version) +
+                                   ", was announced twice with different contents, by '" + a.by + "' and '" +
+                                   before->by + "': the stricter one holds");
+  const json quarrel = {{"event", "conflict"},
+                        {"gatekeeper", settings_.name},
+                        {"clock", to_ms(now)},
+                        {"id", a.id},
+                        {"version", a.version},
+                        {"by", {before->by, a.by}},
+                        {"held", to_json(*register_->find(a.id))}};
+  tell(
+      quarrel, [](net::ConnId, const Peer& p) { return p.watches || p.announced || p.life; }, out);
+}
+
+void Control::list(Time now, net::ConnId conn, const json& line, Outbox& out) {
+  const std::string after = line.contains("after") ? text_in(line, "after") : "";
+  json gaps = json::array();
+  std::size_t bytes = 0;
+  bool more = false;
+  for (const GapState& state : register_->list(now, after, kPage + 1)) {
+    json gap = to_json(*state.announcement);
+    gap["in_force"] = state.in_force;
+    gap["passed"] = state.passed;
+    gap["gapped"] = state.gapped;
+    bytes += gap.dump().size() + 1;
+    more = gaps.size() >= kPage || (bytes > kLargestGap && !gaps.empty());
+    if (more) break;
+    gaps.push_back(std::move(gap));
+  }
+  std::vector<HotNumber> hot = hot_ ? hot_->hot(now) : std::vector<HotNumber>{};
+  hot.resize(std::min(hot.size(), kMostHot));
+  reply(now, conn, line,
+        {{"ok", true},
+         {"digest", mark_text(register_->digest())},
+         {"held", register_->size()},
+         {"announcer", announcer_.has_value()},
+         {"gaps", std::move(gaps)},
+         {"hot", to_json(hot)},
+         {"more", more}},
+        out);
+}
+
+// ---- time
+
+// What gaps were asked about, for the announcer: it sees where the calls come.
+void Control::report(Time now, Outbox& out) {
+  const Duration span = now - std::exchange(reported_, now);
+  const auto demands = register_->take_demands(now);
+  if (!announcer_ || (demands.empty() && !std::exchange(told_demand_, false))) return;
+  told_demand_ = !demands.empty();
+  json all = json::array();
+  for (const auto& d : demands) {
+    if (all.size() >= kMostDemands) break;
+    all.push_back({{"id", d.id}, {"mark", mark_text(d.mark)}, {"calls", d.calls}});
+  }
+  out.send(*announcer_,
+           line_of({{"event", "report"},
+                    {"index", settings_.fleet.index},
+                    {"span_ms", std::chrono::duration_cast<std::chrono::milliseconds>(span).count()},
+                    {"demands", std::move(all)}}));
+}
+
+void Control::look(Time now, Outbox& out) {
+  looked_ = now;
+  using What = HotNumbers::Change::What;
+  for (const HotNumbers::Change& change : hot_->look(now)) {
+    const HotNumber& h = change.number;
+    if (change.what == What::hot || change.what == What::cool) {
+      const bool hot = change.what == What::hot;
+      counters_.add(hot ? "gaps.numbers_hot" : "gaps.numbers_cool");
+      out.log(net::Level::warning, "number " + h.number + (hot ? " has become hot: " : " is hot no more: ") +
+                                       std::to_string(static_cast<int>(h.rate)) + " calls a second");
+      tell(
+          {{"event", hot ? "hot" : "cool"},
+           {"gatekeeper", settings_.name},
+           {"clock", to_ms(now)},
+           {"number", to_json(std::vector<HotNumber>{h})[0]}},
+          [](net::ConnId, const Peer& p) { return p.watches; }, out);
+      continue;
+    }
+    Announcement a;
+    a.id = "auto-" + h.number.substr(0, kLongestText - 5);
+    a.version = static_cast<std::uint64_t>(to_ms(now));
+    a.by = settings_.name;
+    a.made = a.start = a.end = from_ms(to_ms(now));
+    if (change.what == What::gap) {
+      a.end += settings_.hot_lasts;
+      Gap gap;
+      gap.criteria.numbers = {h.number};
+      gap.interval = settings_.hot_interval;
+      a.gap = std::move(gap);
+    }
+    hold(now, a, out);
+  }
+}
+
+}  // namespace graniterun::control
--- /dev/null
+++ b/src/control/control.h
@@ -0,0 +1,66 @@
+// The control listener of a gatekeeper: JSON lines over TCP, by which operators and the announcer announce
+// and lift call gaps, look at them and watch. It holds the register that new calls are checked against, and
+// the watch for hot numbers. A sub-reducer; docs/ops/gapping.md tells of its lines.
+#pragma once
+
+#include <map>
+#include <optional>
+#include <string>
+
+#include "control/gap_json.h"
+#include "control/settings.h"
+#include "core/counters.h"
+#include "front/keeper.h"
+#include "limits/gap_register.h"
+#include "limits/hot_numbers.h"
+#include "net/outbox.h"
+
+namespace graniterun::control {
+
+class Control {
+ public:
+  Control(ControlSettings settings, Counters& counters);
+
+  void start(Time now, Outbox& out);
+  void on(Time now, const net::Accepted& e, Outbox& out);
+  void on(Time now, const net::Received& e, Outbox& out);
+  void on(Time now, const net::Closed& e, Outbox& out);
+  void on(Time now, const net::TimerFired& e, Outbox& out);
+
+  limits::Verdict check(Time now, std::string_view number, std::string_view class_name);
+  bool ready(Time now) const;
+
+ private:
+  struct Peer {
+    bool watches = false;
+    bool announced = false;               // something: it is told of a quarrel
+    std::optional<std::uint64_t> life{};  // an announcer's
+  };
+
+  void take(Time now, net::ConnId conn, const nlohmann::json& line, Outbox& out);
+  void announce(Time now, net::ConnId conn, const nlohmann::json& line, Outbox& out);
+  void list(Time now, net::ConnId conn, const nlohmann::json& line, Outbox& out);
+  limits::Taken hold(Time now, const limits::Announcement& a, Outbox& out);
+  void reply(Time now, net::ConnId conn, const nlohmann::json& line, nlohmann::json answer, Outbox& out);
+  template <class To>
+  void tell(const nlohmann::json& event, To to, Outbox& out);
+  void report(Time now, Outbox& out);
+  void look(Time now, Outbox& out);
+  void close(Time now, net::ConnId conn, Outbox& out);
+
+  ControlSettings settings_;
+  Counters& counters_;
+  SeldomWarning refused_;
+  front::Keeper keeper_;
+  std::optional<limits::GapRegister> register_{};  // from the start on
+  std::optional<limits::HotNumbers> hot_{};
+  std::map<net::ConnId, Peer> peers_;
+  std::optional<net::ConnId> announcer_{};  // slots are ceded to this one
+  bool synced_ = false;
+  Time started_{};
+  Time reported_{};
+  Time looked_{};
+  bool told_demand_ = false;
+};
+
+}  // namespace graniterun::control
--- /dev/null
+++ b/src/control/ctl.h
@@ -0,0 +1,75 @@
+// What graniterunctl does: speaks to many gatekeepers, or to an announcer, at once, and says of each what it
+// took and when. A reducer: the runtime does the I/O.
+#pragma once
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "control/gap_json.h"
+#include "net/outbox.h"
+
+namespace graniterun::control {
+
+struct CtlSettings {
+  enum class What : std::uint8_t { announce, list, watch } what{};
+  std::vector<std::string> to{};                       // addresses
+  std::optional<limits::Announcement> announcement{};  // a lift too
+  bool json = false;
+  Duration within{std::chrono::seconds(3)};  // for all to obey; of a watch, how long: 0 is for ever
+};
+
+class Ctl {
+ public:
+  // Exit codes.
+  static constexpr int kDone = 0;    // all obey; all could be listed, and hold the same
+  static constexpr int kNotAll = 1;  // some were not reached, or hold something else
+  static constexpr int kUsage = 2;
+  static constexpr int kNobody = 3;  // none was reached
+
+  explicit Ctl(CtlSettings settings);
+  void step(Time now, const net::Event& event, net::Effects& effects);
+
+ private:
+  struct Target {
+    std::string address{};
+    std::string name{};
+    bool up = false;
+    bool failed = false;
+    bool done = false;
+    bool good = false;
+    std::string result{};
+    std::size_t held = 0;
+    std::string digest{};
+    nlohmann::json gaps = nlohmann::json::array();
+    nlohmann::json hot = nlohmann::json::array();
+    // An announcer's fleet: who of it is to obey, and how each answered, by address.
+    std::size_t gatekeepers = 0;
+    std::map<std::string, nlohmann::json> obeyed{};
+    nlohmann::json fleet = nlohmann::json::array();
+  };
+
+  void on(Time now, const net::Started& e, Outbox& out);
+  void on(Time now, const net::Connected& e, Outbox& out);
+  void on(Time now, const net::ConnectFailed& e, Outbox& out);
+  void on(Time now, const net::Closed& e, Outbox& out);
+  void on(Time now, const net::Received& e, Outbox& out);
+  void on(Time now, const net::TimerFired& e, Outbox& out);
+  void on(Time now, const net::StopAsked& e, Outbox& out);
+
+  void take(Time now, Target& t, const nlohmann::json& line, Outbox& out);
+  void fail(Time now, Target& t, const std::string& why, Outbox& out);
+  void finish_if_done(Outbox& out);
+  void finish(Outbox& out);
+  std::string announced_text() const;
+  std::string listed_text() const;
+  Target* of(net::ConnId conn);
+  void send(const Target& t, const nlohmann::json& line, Outbox& out) const;
+
+  CtlSettings settings_;
+  std::vector<Target> targets_;
+  Time started_{};
+  bool finished_ = false;
+};
+
+}  // namespace graniterun::control
--- /dev/null
+++ b/src/control/gap_json.h
@@ -0,0 +1,71 @@
+// Gaps as JSON: the form of the control listener, of the announcer's file and of the command line. Times are
+// Unix milliseconds.
+#pragma once
+
+#include <nlohmann/json.hpp>
+#include <stdexcept>
+#include <string>
+#include <string_view>
+
+#include "limits/gap_register.h"
+#include "limits/hot_numbers.h"
+
+namespace graniterun::control {
+
+// Its text is one plain line for whoever sent what can't be used.
+class BadLine : public std::runtime_error {
+ public:
+  using std::runtime_error::runtime_error;
+};
+
+constexpr std::size_t kLineBound = 32 * 1024;
+constexpr std::size_t kLargestGap = 24 * 1024;  // as JSON: it has to fit a line with what goes around it
+
+nlohmann::json to_json(const limits::Announcement& a);
+limits::Announcement announcement_of(const nlohmann::json& object);  // throws BadLine
+
+std::int64_t to_ms(Time t);
+Time from_ms(std::int64_t ms);
+std::string_view word_of(limits::Taken taken);
+nlohmann::json to_json(const std::vector<limits::HotNumber>& hot);
+
+// What a value is to be. Each throws BadLine with the name where it is not there or is something else.
+std::string text_in(const nlohmann::json& object, const char* name);
+std::int64_t whole_in(const nlohmann::json& object, const char* name, std::int64_t least, std::int64_t most);
+std::uint64_t mark_in(const nlohmann::json& object, const char* name);  // 16 hex digits
+std::string mark_text(std::uint64_t mark);
+
+// The JSON lines in `bytes`, each handed on as an object; returns how many bytes are used, or nothing where a
+// line is longer than kLineBound. What is no object is told to `bad`, with the reason.
+template <class Take, class Bad>
+std::optional<std::size_t> read_lines(std::string_view bytes, Take take, Bad bad) {
+  std::size_t used = 0;
+  while (used < bytes.size()) {
+    const std::size_t end = bytes.find('\n', used);
+    if (end == std::string_view::npos) {
+      if (bytes.size() - used > kLineBound) return std::nullopt;
+      break;
+    }
+    if (end - used > kLineBound) return std::nullopt;
+    const std::string_view line = bytes.substr(used, end - used);
+    used = end + 1;
+    if (line.find_first_not_of(" \r\t") == std::string_view::npos) continue;
+    const auto object = nlohmann::json::parse(line, nullptr, false);
+    if (object.is_discarded() || !object.is_object()) {
+      bad(nlohmann::json::object(), "the line is not a JSON object");
+      continue;
+    }
+    try {
+      take(object);
+    } catch (const BadLine& trouble) {
+      bad(object, trouble.what());
+    }
+  }
+  return used;
+}
+
+inline std::string line_of(const nlohmann::json& object) {
+  return object.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) + "\n";
+}
+
+}  // namespace graniterun::control
--- a/src/core/broker.cpp
+++ b/src/core/broker.cpp
@@ -21,20 +21,22 @@
 
 }  // namespace
 
-Broker::Broker(const Settings& settings, std::uint64_t seed, Contracts contracts, Counters& counters)
+Broker::Broker(const Settings& settings, std::uint64_t seed, Contracts contracts, Counters& counters,
+               Gate gate)
     : Broker(
           settings,
           [controller = std::make_shared<Controller>(settings, seed)](
               Time now, const graniterun::Event& event, std::vector<Action>& actions) {
             controller->handle(now, event, actions);
           },
-          std::move(contracts), counters) {}
+          std::move(contracts), counters, std::move(gate)) {}
 
-Broker::Broker(const Settings& settings, Decide decide, Contracts contracts, Counters& counters)
+Broker::Broker(const Settings& settings, Decide decide, Contracts contracts, Counters& counters, Gate gate)
     : settings_(settings),
       contracts_(std::move(contracts)),
       counters_(counters),
-      decide_(std::move(decide)) {}
+      decide_(std::move(decide)),
+      gate_(std::move(gate)) {}
 
 void Broker::step(Time now, const Event& event, Effects& effects) {
   now_ = std::max(now, now_);
@@ -56,18 +58,26 @@
   call.most_attempts = settings_.max_attempts;
   by_label_.insert_or_assign(e.request.label, e.request.call);
   ++unanswered_;
+  const auto turn_down = [&](bool refused, Why why, Duration wait, limits::Treatment treatment = {}) {
+    answer(call, false, refused, why, wait, {}, std::move(treatment));
+    forget_if_over(e.request.call);
+  };
+  // Before the budget: what a gap holds back is not to use up its team's. A slot that a call has taken is not
+  // given back where it comes to nothing later: the next one would pass in the same interval.
+  if (gate_ && call.deadline > now_) {
+    if (limits::Verdict verdict = gate_(now_, e.request); !verdict.passes) {
+      counters_.add("broker.gapped");
+      return turn_down(true, Why::gapped, verdict.wait, std::move(verdict.treatment));
+    }
+  }
   const Contracts::Terms terms = contracts_.admit(now_, e.request.team, e.request.call_class);
   if (terms.deadline) call.deadline = std::min(call.deadline, now_ + *terms.deadline);
   if (terms.attempts) call.most_attempts = std::min(call.most_attempts, *terms.attempts);
   if (terms.over_budget) {
     counters_.add("broker.over_budget");
-    answer(call, false, true, Why::over_budget, *terms.over_budget, {});
-    return forget_if_over(e.request.call);
-  }
-  if (call.deadline <= now_) {
-    answer(call, false, false, Why::overdue, kStayAway, {});
-    return forget_if_over(e.request.call);
+    return turn_down(true, Why::over_budget, *terms.over_budget);
   }
+  if (call.deadline <= now_) return turn_down(false, Why::overdue, kStayAway);
   alarm(call.deadline, {Alarm::Kind::deadline, e.request.call, {}});
   NewCall query;
   query.call = e.request.call;
@@ -368,7 +378,7 @@
 // ---- small things
 
 void Broker::answer(Call& call, bool served, bool refused, Why why, Duration wait,
-                    const std::string& description) {
+                    const std::string& description, limits::Treatment treatment) {
   call.answered = true;
   call.turned_down = !served;
   --unanswered_;
@@ -378,7 +388,7 @@
     emit(Serve{id, description});
   } else {
     counters_.add(refused ? "broker.refused" : "broker.failed");
-    emit(TurnDown{id, refused, why, wait});
+    emit(TurnDown{id, refused, why, wait, std::move(treatment)});
     if (call.out) give_up_attempt(call);
   }
   emit(RequestAnswered{call.request, call.came, served, served ? std::nullopt : std::optional(why),
--- a/src/core/broker.h
+++ b/src/core/broker.h
@@ -17,6 +17,7 @@
 #include "core/contracts.h"
 #include "core/counters.h"
 #include "graniterun/controller.h"
+#include "limits/gap_register.h"
 
 namespace graniterun::core {
 
@@ -47,6 +48,7 @@
 };
 
 enum class Why : std::uint8_t {
+  gapped,
   throttled,
   over_budget,
   overdue,
@@ -128,7 +130,8 @@
   CallId call{};
   bool refused{};  // else failed
   Why why{};
-  Duration wait{};  // the caller is to stay away so long
+  Duration wait{};                // the caller is to stay away so long
+  limits::Treatment treatment{};  // of a call that is gapped
 };
 struct ReleaseCaller {
   CallId call{};
@@ -171,8 +174,12 @@
   // What decides: it is handed each event with its time and appends its actions.
   using Decide = std::function<void(Time, const graniterun::Event&, std::vector<Action>&)>;
 
-  Broker(const Settings& settings, std::uint64_t seed, Contracts contracts, Counters& counters);
-  Broker(const Settings& settings, Decide decide, Contracts contracts, Counters& counters);
+  // What new calls must pass before the module hears of them, on whichever front they come.
+  using Gate = std::function<limits::Verdict(Time, const Request&)>;
+
+  Broker(const Settings& settings, std::uint64_t seed, Contracts contracts, Counters& counters,
+         Gate gate = {});
+  Broker(const Settings& settings, Decide decide, Contracts contracts, Counters& counters, Gate gate = {});
 
   void step(Time now, const Event& event, Effects& effects);
 
@@ -241,7 +248,8 @@
   bool is_warm(const Server& server) const {
     return !server.online_since || now_ >= *server.online_since + settings_.cold_time;
   }
-  void answer(Call& call, bool served, bool refused, Why why, Duration wait, const std::string& description);
+  void answer(Call& call, bool served, bool refused, Why why, Duration wait, const std::string& description,
+              limits::Treatment treatment = {});
   void record(Call& call, std::optional<Outcome> outcome);
   void forget_if_over(CallId id);
   void alarm(Time at, Alarm alarm);
@@ -252,6 +260,7 @@
   Contracts contracts_;
   Counters& counters_;
   Decide decide_;
+  Gate gate_;
   Time now_{};
   Effects* effects_ = nullptr;
   std::unordered_map<CallId, Call> calls_;
--- a/src/front/platform.cpp
+++ b/src/front/platform.cpp
@@ -245,7 +245,10 @@
   const auto it = calls_.find(e.call);
   if (it == calls_.end()) return;
   counters_.add(e.refused ? "platform.refusals" : "platform.failures");
-  jsonl::Message m = message("release", it->second.id, cause_of(e.refused, e.why));
+  const bool gapped = e.why == core::Why::gapped;
+  jsonl::Message m =
+      message("release", it->second.id, gapped ? e.treatment.cause : cause_of(e.refused, e.why));
+  if (!e.treatment.words.empty()) m.fields.emplace("reason", e.treatment.words);
   if (e.wait > Duration{}) {
     const auto ms = std::chrono::ceil<std::chrono::milliseconds>(e.wait).count();
     m.fields.emplace("wait", std::to_string(ms));
--- a/src/front/platform.h
+++ b/src/front/platform.h
@@ -9,9 +9,9 @@
 #include <unordered_map>
 #include <vector>
 
-#include "app/outbox.h"
 #include "core/counters.h"
 #include "front/keeper.h"
+#include "net/outbox.h"
 #include "proto/jsonl.h"
 
 namespace graniterun::front {
--- a/src/front/sip.cpp
+++ b/src/front/sip.cpp
@@ -23,6 +23,14 @@
   return std::to_string(std::max<std::int64_t>(1, std::chrono::ceil<std::chrono::seconds>(wait).count()));
 }
 
+// RFC 3326. The words hold no control characters; what would end the text early is left out.
+std::string reason(const limits::Treatment& treatment) {
+  std::string text = "Q.850;cause=" + std::to_string(treatment.cause);
+  std::string words = treatment.words;
+  std::erase_if(words, [](char c) { return c == '"' || c == '\\'; });
+  return words.empty() ? text : text + ";text=\"" + words + "\"";
+}
+
 // What makes a request unfit for any answer but 400 (§8.1.1).
 std::string missing_header(const sip::Message& m) {
   for (const std::string_view name : {"Via", "From", "To", "Call-ID", "CSeq"}) {
@@ -434,6 +442,7 @@
     const std::string_view tag = sip::parameter(call->dialog.local, "tag");
     sip::Message m = sip::answer_to(*request, status, sip::phrase_of(status), tag);
     if (e.wait > Duration{} || status == 503) m.add("Retry-After", retry_after(e.wait));
+    if (e.why == core::Why::gapped) m.add("Reason", reason(e.treatment));
     transactions_.respond(now, call->invite, m, out);
   }
   forget(e.call);
--- a/src/front/sip.h
+++ b/src/front/sip.h
@@ -9,11 +9,11 @@
 #include <unordered_map>
 #include <vector>
 
-#include "app/outbox.h"
 #include "config/config.h"
 #include "core/counters.h"
 #include "core/words.h"
 #include "front/keeper.h"
+#include "net/outbox.h"
 #include "sip/transactions.h"
 
 namespace graniterun::front {
--- a/src/limits/gap.cpp
+++ b/src/limits/gap.cpp
@@ -1,5 +1,6 @@
 #include "limits/gap.h"
 
+#include <algorithm>
 #include <cmath>
 #include <limits>
 #include <tuple>
@@ -7,6 +8,11 @@
 namespace graniterun::limits {
 namespace {
 
+// Such text comes back in log lines and in answers.
+bool has_control(const std::string& text) {
+  return std::any_of(text.begin(), text.end(), [](unsigned char c) { return c < 0x20 || c == 0x7f; });
+}
+
 bool too_long(const std::string& text) { return text.size() > kLongestText; }
 
 std::string trouble_with(const std::vector<std::string>& texts, const char* what) {
@@ -14,6 +20,7 @@
   for (const std::string& text : texts) {
     if (text.empty()) return std::string("one of the ") + what + " is empty";
     if (too_long(text)) return std::string("one of the ") + what + " is over 128 characters long";
+    if (has_control(text)) return std::string("one of the ") + what + " holds a control character";
   }
   return {};
 }
@@ -35,7 +42,8 @@
   }
   const int cause = gap.treatment.cause;
   if (cause != 34 && cause != 42 && cause != 102) return "the cause is not 34, 42 or 102";
-  if (too_long(gap.treatment.words)) return "the words are over 128 characters long";
+  if (too_long(gap.treatment.words) || has_control(gap.treatment.words))
+    return "the words are over 128 characters long or hold a control character";
   return {};
 }
 
@@ -58,6 +66,8 @@
 
 std::string trouble_with(const Announcement& a, Time now) {
   if (a.id.empty() || too_long(a.id)) return "the id is empty or over 128 characters long";
+  if (has_control(a.id) || has_control(a.by))
+    return "the id or the announcer's name holds a control character";
   if (too_long(a.by)) return "the announcer's name is over 128 characters long";
   if (a.version == 0) return "the version is not above 0";
   if (a.made > now + kClockError) return "it was made in the future: a clock is wrong";
--- a/src/limits/gap_register.cpp
+++ b/src/limits/gap_register.cpp
@@ -82,6 +82,9 @@
     return Taken::full;
   }
   Entry& entry = known != entries_.end() ? known->second : entries_[a.id];
+  digest_ -= entry.mark;
+  entry.mark = mark_of(a);
+  digest_ += entry.mark;
   entry.newest = a;
   // Until it starts, what it replaces goes on: all gatekeepers change over at one time. A lift is at once.
   if (!a.gap || a.start <= now) {
@@ -108,6 +111,7 @@
     const bool forget = a.made + kRemembered <= now;
     if (entry.current && (forget || entry.current->announcement.end <= now)) retire(entry);
     if (forget) {
+      digest_ -= entry.mark;
       entries_.erase(*id);
       continue;
     }
@@ -135,7 +139,7 @@
   Active* gap = entry.current.get();
   const Announcement& a = gap->announcement;
   gap->salt = hash(a.id, kNumberSeed);
-  gap->mark = mark_of(a);
+  gap->mark = entry.mark;
   if (slotted(*a.gap) && a.start < born_) gap->fenced = slot_at(a, born_ + kCedeAhead);
   const Criteria& c = a.gap->criteria;
   if (c.numbers.empty() && c.prefixes.empty()) by_class_.push_back(gap);
@@ -175,10 +179,10 @@
   return it == entries_.end() ? nullptr : &it->second.newest;
 }
 
-std::vector<GapState> GapRegister::list(Time now) const {
+std::vector<GapState> GapRegister::list(Time now, std::string_view after, std::size_t most) const {
   std::vector<GapState> all;
-  all.reserve(entries_.size());
   for (const auto& [id, entry] : entries_) {
+    if (!after.empty() && id <= after) continue;
     GapState state;
     state.announcement = &entry.newest;
     state.in_force = entry.current && now < entry.current->announcement.end;
@@ -188,17 +192,15 @@
     }
     all.push_back(state);
   }
-  std::sort(all.begin(), all.end(),
-            [](const GapState& a, const GapState& b) { return a.announcement->id < b.announcement->id; });
+  const auto by_id = [](const GapState& a, const GapState& b) {
+    return a.announcement->id < b.announcement->id;
+  };
+  const std::size_t kept = std::min(most, all.size());
+  std::partial_sort(all.begin(), all.begin() + static_cast<std::ptrdiff_t>(kept), all.end(), by_id);
+  all.resize(kept);
   return all;
 }
 
-std::uint64_t GapRegister::digest() const {
-  std::uint64_t sum = 0;
-  for (const auto& [id, entry] : entries_) sum += mark_of(entry.newest);  // the order does not matter
-  return sum;
-}
-
 // ---- calls
 
 template <class Do>
--- a/src/limits/gap_register.h
+++ b/src/limits/gap_register.h
@@ -73,11 +73,12 @@
   Verdict check(Time now, std::string_view number, std::string_view class_name);
 
   // What is held, in order of ids: those in force, those to come, and what is remembered of those that ended.
-  std::vector<GapState> list(Time now) const;
+  // Of those after an id so many at the most; O(n) in what is held.
+  std::vector<GapState> list(Time now, std::string_view after = {}, std::size_t most = kMostGaps) const;
   const Announcement* find(const std::string& id) const;
   std::size_t size() const { return entries_.size(); }
   // A number that is the same for registers that hold the same.
-  std::uint64_t digest() const;
+  std::uint64_t digest() const { return digest_; }
 
   // Calls that gaps were asked about since the last report, by id: for the announcer.
   struct Demand {
@@ -114,6 +115,7 @@
   struct Entry {
     std::unique_ptr<Active> current{};  // absent: nothing of it is in force
     Announcement newest{};              // may be to come, be lifted, or have ended
+    std::uint64_t mark{};               // of the newest
   };
   struct Match {
     Active* gap{};
@@ -152,6 +154,7 @@
   std::unordered_set<Active*> asked_;  // since the last report
   std::size_t used_ = 0;               // numbers remembered, over all gaps
   std::uint64_t refused_for_room_ = 0;
+  std::uint64_t digest_ = 0;  // of all marks, whatever their order
 };
 
 }  // namespace graniterun::limits
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -1,4 +1,5 @@
 // graniterun: one gatekeeper on real sockets.
+#include <algorithm>
 #include <csignal>
 #include <cstdlib>
 #include <exception>
@@ -33,6 +34,11 @@
   throw BadConfig("GRANITERUN_LOG is not one of debug, info, warning, error");
 }
 
+limits::Fleet fleet_of(const PlatformConfig& config) {
+  const std::uint32_t size = std::max<std::uint32_t>(1, config.settings.senders);
+  return {size, std::min(config.index, size - 1)};
+}
+
 int run(int argc, char** argv) {
   std::string deploy_path;
   for (int i = 1; i < argc; ++i) {
@@ -47,7 +53,8 @@
   if (const std::string listen = variable("RELAY_LISTEN"); !listen.empty()) config.listen = listen;
   if (const std::string name = variable("RELAY_NAME"); !name.empty()) config.name = name;
   const DeployConfig deploy =
-      deploy_path.empty() ? DeployConfig{} : read_deploy_config(read_file(deploy_path), config.class_names);
+      deploy_path.empty() ? DeployConfig{}
+                          : read_deploy_config(read_file(deploy_path), config.class_names, fleet_of(config));
 
   net::RuntimeLimits limits;
   // Some descriptors are the program's own.
--- a/src/net/events.h
+++ b/src/net/events.h
@@ -14,7 +14,19 @@
 namespace graniterun::net {
 
 // Whose connection, socket or timer it is.
-enum class Concern : std::uint8_t { broker, platform, server, journal, sip, trunk, collector, process };
+enum class Concern : std::uint8_t {
+  broker,
+  platform,
+  server,
+  journal,
+  sip,
+  trunk,
+  collector,
+  control,    // callers of the control listener
+  announced,  // gatekeepers that an announcer, or a command line, speaks to
+  process
+};
+constexpr std::size_t kConcerns = static_cast<std::size_t>(Concern::process) + 1;
 
 struct ConnId {
   Concern concern{};
@@ -71,6 +83,18 @@
 using Event = std::variant<Started, Accepted, Connected, ConnectFailed, Received, Closed, Datagram,
                            TimerFired, StopAsked, CountersAsked, ReloadAsked, FileRead>;
 
+// Whose event it is; none: the whole program's.
+inline std::optional<Concern> concern_of(const Event& event) {
+  return std::visit(
+      [](const auto& e) -> std::optional<Concern> {
+        if constexpr (requires { e.conn; }) return e.conn.concern;
+        if constexpr (requires { e.concern; }) return e.concern;
+        if constexpr (requires { e.key; }) return e.key.concern;
+        return std::nullopt;
+      },
+      event);
+}
+
 // ---- Effects
 
 struct Listen {  // TCP
@@ -109,6 +133,10 @@
 struct ReadFile {
   std::string path;
 };
+struct WriteFile {  // whole, or not at all: the old one stays until the new one is on disk
+  std::string path;
+  std::string text;
+};
 struct Log {
   Level level{};
   std::string text;
@@ -121,7 +149,7 @@
 };
 
 using Effect = std::variant<Listen, Bind, Connect, Send, SendDatagram, Consume, Close, ArmTimer, ReadFile,
-                            Log, Print, Exit>;
+                            WriteFile, Log, Print, Exit>;
 using Effects = std::vector<Effect>;
 
 }  // namespace graniterun::net
--- a/src/net/runtime.cpp
+++ b/src/net/runtime.cpp
@@ -345,6 +345,15 @@
   }
 
   void carry_out(const ArmTimer& e) { arm(Timer{e.at, ++timer_order_, e.key}); }
+  void carry_out(const WriteFile& e) {
+    GError* error = nullptr;
+    constexpr auto kFlags =
+        static_cast<GFileSetContentsFlags>(G_FILE_SET_CONTENTS_CONSISTENT | G_FILE_SET_CONTENTS_DURABLE);
+    if (!g_file_set_contents_full(e.path.c_str(), e.text.data(), static_cast<gssize>(e.text.size()), kFlags,
+                                  0600, &error))
+      logger_.line(Level::error, "cannot write " + e.path + ": " + text_of(error));
+  }
+
   void carry_out(const ReadFile& e) {
     gchar* text = nullptr;
     gsize size = 0;
--- a/src/otlp/exporter.cpp
+++ b/src/otlp/exporter.cpp
@@ -27,8 +27,8 @@
 }
 
 const char* word_of(core::Why why) {
-  constexpr const char* kWords[] = {"throttled",  "over_budget", "overdue", "number_busy",
-                                    "no_success", "crossed",     "cut",     "ended"};
+  constexpr const char* kWords[] = {"gapped",     "throttled", "over_budget", "overdue", "number_busy",
+                                    "no_success", "crossed",   "cut",         "ended"};
   return kWords[static_cast<std::size_t>(why)];
 }
 
--- a/src/otlp/exporter.h
+++ b/src/otlp/exporter.h
@@ -8,9 +8,9 @@
 #include <optional>
 #include <string>
 
-#include "app/outbox.h"
 #include "core/counters.h"
 #include "core/words.h"
+#include "net/outbox.h"
 #include "proto/http.h"
 
 namespace graniterun::otlp {
--- a/src/sip/transport.h
+++ b/src/sip/transport.h
@@ -7,8 +7,8 @@
 #include <string>
 #include <vector>
 
-#include "app/outbox.h"
 #include "core/counters.h"
+#include "net/outbox.h"
 #include "proto/sip.h"
 
 namespace graniterun::sip {
