Show call gaps with real programs, measure them and a call's cost, tell operators how

GIO's socket source and each timer that was armed woke the loop by a write to itself: descriptors are watched directly and the ready time is set only where it changes.

--- /dev/null
+++ b/bench/gap_bench.cpp
@@ -0,0 +1,244 @@
+// Call gaps: what a check costs, what a gap holds in memory, and a fleet of eight gatekeepers under a flood
+// on one number at 20 times its interval. Usage: gap_bench GATEKEEPER ANNOUNCER CTL. Exits with 1 where an
+// aim is missed.
+#include <malloc.h>
+
+#include <atomic>
+#include <csignal>
+#include <cstdio>
+#include <thread>
+
+#include "lab/load.h"
+#include "limits/gap_register.h"
+#include "programs.h"
+
+using namespace graniterun;
+using namespace graniterun::bench;
+using namespace std::chrono_literals;
+
+namespace {
+
+bool good = true;
+
+void tell(const char* name, double value, const char* unit, bool reached = true) {
+  std::printf("%s %.4g %s%s\n", name, value, unit, reached ? "" : " SHORT");
+  std::fflush(stdout);
+  good = good && reached;
+}
+
+// ---- the check
+
+double check_ns(std::size_t gaps) {
+  constexpr Time kStart{1'700'000'000s};
+  const auto before = mallinfo2().uordblks;
+  limits::GapRegister reg({8, 0}, 1, kStart);
+  for (std::size_t i = 0; i < gaps; ++i) {
+    limits::Announcement a;
+    a.id = "g" + std::to_string(i);
+    a.version = 1;
+    a.made = a.start = kStart;
+    a.end = kStart + 1h;
+    a.gap.emplace();
+    // Numbers, and prefixes of some lengths: each length that is there costs a look-up.
+    const std::string digits = std::to_string(1'000'000'000 + i * 7919);
+    if (i % 4 == 0) {
+      a.gap->criteria.prefixes = {digits.substr(0, 6 + i % 3)};
+    } else {
+      a.gap->criteria.numbers = {digits};
+    }
+    a.gap->interval = 1s;
+    reg.announce(kStart, a);
+  }
+  if (gaps == 100'000)
+    tell("memory_a_gap", static_cast<double>(mallinfo2().uordblks - before) / static_cast<double>(gaps),
+         "bytes");
+  std::vector<std::string> numbers;
+  for (std::size_t i = 0; i < 4096; ++i) numbers.push_back(std::to_string(5'000'000'000 + i * 104'729));
+  std::vector<double> runs;
+  std::size_t passed = 0;
+  for (int run = 0; run < 15; ++run) {
+    const auto began = std::chrono::steady_clock::now();
+    for (int i = 0; i < 100'000; ++i)
+      passed += reg.check(kStart + std::chrono::microseconds(i), numbers[static_cast<std::size_t>(i) % 4096],
+                          "voice")
+                    .passes;
+    const auto took = std::chrono::steady_clock::now() - began;
+    runs.push_back(std::chrono::duration<double, std::nano>(took).count() / 100'000);
+  }
+  if (passed != 1'500'000) tell("checks_wrong", 1, "checks", false);
+  return lab::percentile(runs, 0.5);
+}
+
+// ---- the fleet
+
+// A program that is ended with its owner.
+class Child {
+ public:
+  explicit Child(const std::vector<std::string>& words) {
+    pid_ = ::fork();
+    if (pid_ != 0) return;
+    const int nowhere = ::open("/dev/null", O_WRONLY);
+    ::dup2(nowhere, 2);
+    std::vector<char*> argv;
+    for (const std::string& w : words) argv.push_back(const_cast<char*>(w.c_str()));
+    argv.push_back(nullptr);
+    ::execv(argv[0], argv.data());
+    ::_exit(127);
+  }
+  ~Child() {
+    ::kill(pid_, SIGKILL);
+    ::waitpid(pid_, nullptr, 0);
+  }
+
+ private:
+  pid_t pid_;
+};
+
+json ctl(const std::string& command) {
+  std::string text;
+  FILE* pipe = ::popen((command + " --json").c_str(), "r");
+  char buffer[4096];
+  while (pipe != nullptr && ::fgets(buffer, sizeof buffer, pipe) != nullptr) text += buffer;
+  if (pipe != nullptr) ::pclose(pipe);
+  return json::parse(text, nullptr, false);
+}
+
+struct Passed {
+  std::size_t slots = 0;     // used
+  std::size_t too_many = 0;  // calls that no slot is left for
+  double share = 0.0;
+};
+
+// Each call that passed was decided on between its sending and its answer: whether every one has a slot of
+// its own, and how many of the slots from `begins` to `ends` are used.
+Passed slots_of(const std::vector<lab::CallRecord>& calls, std::size_t flow, Time start, Duration interval,
+                Time begins, Time ends) {
+  Passed result;
+  std::map<std::int64_t, std::size_t> used;
+  const auto slot_at = [&](Time t) { return (t - start) / interval; };
+  for (const lab::CallRecord& c : calls) {
+    if (c.flow != flow || c.sent < begins || c.sent >= ends || c.finals == 0 || (!c.stood && c.cause == 42))
+      continue;
+    std::int64_t slot = slot_at(c.sent);
+    const std::int64_t last = slot_at(c.answered);
+    while (slot < last && used.contains(slot)) ++slot;
+    if (!used.emplace(slot, 1).second) ++result.too_many;
+  }
+  result.slots = used.size();
+  result.share = static_cast<double>(used.size()) / static_cast<double>((ends - begins) / interval);
+  return result;
+}
+
+void play_fleet(char** argv) {
+  constexpr std::size_t kFleet = 8;
+  constexpr Duration kInterval = 100ms;
+  const std::vector<std::string> servers{at(free_port()), at(free_port())};
+  const std::string announcer = at(free_port());
+  lab::Plan plan;
+  plan.servers = servers;
+  std::vector<std::unique_ptr<test::Program>> programs;
+  std::string controls;
+  for (std::size_t i = 0; i < kFleet; ++i) {
+    const std::string control = at(free_port());
+    plan.gatekeepers.push_back(at(free_port()));
+    programs.push_back(gatekeeper(argv[1], plan.gatekeepers.back(), servers, static_cast<int>(i), kFleet,
+                                  {{"control", {{"listen", control}}}, {"gaps", {{"fleet_size", kFleet}}}}));
+    controls += (controls.empty() ? "" : ",") + control;
+  }
+  for (const std::string& address : plan.gatekeepers)
+    test::Socket::connected(std::stoi(address.substr(address.rfind(':') + 1)));
+  const Child holder({argv[2], "--listen", announcer, "--gatekeeper", controls});
+
+  // Calls to other numbers all along; the flood evenly, then all of it at one gatekeeper. The servers can do
+  // 160 set-ups a second: without the gap the flood of 200 is too much for them.
+  plan.work = 12ms;
+  plan.flows.resize(3);
+  plan.flows[0].per_second = 80;
+  plan.flows[1] = {200, "4711", {}, false, 0s, 16s};
+  plan.flows[2] = {200, "4711", {0, 0, 1, 0, 0, 0, 0, 0}, false, 16s, 28s};
+  plan.lasts = 28s;
+  Time began{};
+  plan.tick = [&](Time now) {
+    if (began == Time{}) began = now;
+  };
+  std::atomic<std::int64_t> started{0};
+  std::vector<double> obeyed;
+  std::vector<double> lifted;
+  std::thread desk([&] {
+    std::this_thread::sleep_for(6500ms);
+    const std::string to = " --to " + announcer;
+    const json told = ctl(std::string(argv[3]) + " gap announce hiker --number 4711 --one-in 100ms" + to);
+    if (told.is_object()) started = told.value("version", std::int64_t{0});
+    for (int i = 0; i < 40; ++i) {
+      const std::string id = "probe" + std::to_string(i);
+      for (const bool up : {true, false}) {
+        const json one =
+            ctl(std::string(argv[3]) +
+                (up ? " gap announce " + id + " --number 99 --one-in none" : " gap lift " + id) + to);
+        if (!one.is_object()) continue;
+        for (const json& g : one["targets"][0].value("obeyed", json::array()))
+          (up ? obeyed : lifted).push_back(g["after_ms"].get<double>());
+      }
+      std::this_thread::sleep_for(200ms);
+    }
+  });
+  lab::Load load(plan);
+  load.run();
+  desk.join();
+
+  const Time start{std::chrono::milliseconds(started.load())};
+  const auto& calls = load.calls();
+  const Passed evenly = slots_of(calls, 1, start, kInterval, start + 1s, began + 15500ms);
+  const Passed at_one = slots_of(calls, 2, start, kInterval, began + 19s, began + 27500ms);
+  const Passed all = slots_of(calls, 1, start, kInterval, start + 1s, began + 16s);
+  tell("gap_taken", started > 0 ? 1 : 0, "gaps", started > 0);
+  tell("passed_over_one_in_a_slot", static_cast<double>(evenly.too_many + at_one.too_many + all.too_many),
+       "calls", evenly.too_many + at_one.too_many + all.too_many == 0);
+  tell("slots_used_evenly", evenly.share, "share", evenly.share > 0.9);
+  tell("slots_used_at_one_gatekeeper", at_one.share, "share", at_one.share > 0.8);
+  double most = 0;
+  for (const auto& [name, values] :
+       {std::pair{"announce_to_obey_p99", &obeyed}, std::pair{"lift_to_obey_p99", &lifted}}) {
+    const double p99 = lab::percentile(*values, 0.99);
+    most = std::max(most, p99);
+    tell(name, p99, "ms", p99 < 200 && values->size() == 40 * kFleet);
+  }
+  std::size_t other = 0;
+  std::size_t other_stood[2] = {0, 0};
+  std::size_t others[2] = {0, 0};
+  std::size_t not_once = 0;
+  std::size_t gapped = 0;
+  for (const lab::CallRecord& c : calls) {
+    if (c.finals != 1) ++not_once;
+    if (c.flow != 0 && !c.stood && c.cause == 42 && c.sent > start) ++gapped;
+    if (c.flow != 0) continue;
+    const bool with = c.sent > start + 2s;
+    if (!with && (c.sent > start || c.sent < began + 1s)) continue;
+    ++others[with];
+    const bool in_time = c.stood && c.answered - c.sent <= 1500ms;
+    other_stood[with] += in_time ? 1 : 0;
+    ++other;
+  }
+  const auto share = [&](int with) {
+    return others[with] == 0 ? 0.0
+                             : static_cast<double>(other_stood[with]) / static_cast<double>(others[with]);
+  };
+  tell("others_served_without_the_gap", share(0), "share");
+  tell("others_served_with_the_gap", share(1), "share", share(1) > 0.99);
+  tell("calls_gapped", static_cast<double>(gapped), "calls", gapped > 1000);
+  tell("calls_not_answered_once", static_cast<double>(not_once), "calls", not_once == 0);
+}
+
+}  // namespace
+
+int main(int, char** argv) {
+  std::signal(SIGPIPE, SIG_IGN);
+  const double none = check_ns(0);
+  const double few = check_ns(100);
+  const double many = check_ns(100'000);
+  tell("check_at_0_gaps", none, "ns");
+  tell("check_at_100_gaps", few, "ns");
+  tell("check_at_100000_gaps", many, "ns", many < 200 && many < 3 * few);
+  play_fleet(argv);
+  return good ? 0 : 1;
+}
--- a/src/control/ctl.cpp
+++ b/src/control/ctl.cpp
@@ -91,8 +91,9 @@
   t.done = t.failed = true;
   t.result = why;
   if (settings_.what == CtlSettings::What::watch)
-    out.net.push_back(net::Print{settings_.json ? line_of({{"address", t.address}, {"trouble", why}})
-                                                : t.address + ": " + why + "\n"});
+    out.net.push_back(net::Print{
+        settings_.json ? line_of({{"address", t.address}, {"trouble", why}}) : t.address + ": " + why + "\n",
+        true});
   finish_if_done(out);
 }
 
@@ -128,8 +129,8 @@
 }
 
 void Ctl::take(Time now, Target& t, const json& line, Outbox& out) {
-  if (line.contains("gatekeeper")) t.name = text_in(line, "gatekeeper");
   const std::string event = line.contains("event") ? text_in(line, "event") : "";
+  if (line.contains("gatekeeper") && event != "obeyed") t.name = text_in(line, "gatekeeper");
   if (settings_.what == CtlSettings::What::watch) {
     if (event.empty()) return;
     std::string text = settings_.json ? line_of(line) : "";
@@ -141,7 +142,7 @@
         text += text_in(line, "id") + ", version " + line.value("version", json(0)).dump();
       text += "\n";
     }
-    out.net.push_back(net::Print{std::move(text)});
+    out.net.push_back(net::Print{std::move(text), true});
     return;
   }
   if (settings_.what == CtlSettings::What::announce) {
@@ -261,10 +262,11 @@
     if (!digest.empty() && t.digest != digest) all = false;
     digest = t.digest;
   }
-  if (settings_.what == CtlSettings::What::announce) out.net.push_back(net::Print{announced_text()});
+  if (settings_.what == CtlSettings::What::announce) out.net.push_back(net::Print{announced_text(), true});
   if (settings_.what == CtlSettings::What::list) {
-    out.net.push_back(net::Print{listed_text()});
-    if (any && !all && !settings_.json) out.net.push_back(net::Print{"they do NOT all hold the same\n"});
+    out.net.push_back(net::Print{listed_text(), true});
+    if (any && !all && !settings_.json)
+      out.net.push_back(net::Print{"they do NOT all hold the same\n", true});
   }
   const bool watched = settings_.what == CtlSettings::What::watch;
   out.net.push_back(net::Exit{!any ? kNobody : all || watched ? kDone : kNotAll});
--- a/src/net/events.h
+++ b/src/net/events.h
@@ -143,6 +143,7 @@
 };
 struct Print {  // whatever the level
   std::string text;
+  bool answer = false;  // to whoever started the program: on standard output, else with the log
 };
 struct Exit {
   int status{};
--- a/src/net/runtime.cpp
+++ b/src/net/runtime.cpp
@@ -44,6 +44,12 @@
   return text;
 }
 
+// GIO's own source of a socket wakes the loop by a write to itself each time it is dispatched, which cost
+// more than the message that had come; the descriptor's does not.
+GSource* watch(GSocket* socket, GIOCondition condition) {
+  return g_unix_fd_source_new(g_socket_get_fd(socket), condition);
+}
+
 // A source of the main loop that ends with its owner.
 class Source {
  public:
@@ -169,22 +175,22 @@
     static_cast<Impl*>(data)->step(ReloadAsked{});
     return G_SOURCE_CONTINUE;
   }
-  static gboolean on_acceptable(GSocket*, GIOCondition, gpointer data) {
+  static gboolean on_acceptable(gint, GIOCondition, gpointer data) {
     auto* listener = static_cast<Listener*>(data);
     listener->impl.accept(*listener);
     return G_SOURCE_CONTINUE;
   }
-  static gboolean on_datagram(GSocket*, GIOCondition, gpointer data) {
+  static gboolean on_datagram(gint, GIOCondition, gpointer data) {
     auto* listener = static_cast<Listener*>(data);
     listener->impl.receive_datagrams(*listener);
     return G_SOURCE_CONTINUE;
   }
-  static gboolean on_readable(GSocket*, GIOCondition, gpointer data) {
+  static gboolean on_readable(gint, GIOCondition, gpointer data) {
     auto* c = static_cast<Connection*>(data);
     c->impl.read(c->id);
     return G_SOURCE_CONTINUE;
   }
-  static gboolean on_writable(GSocket*, GIOCondition, gpointer data) {
+  static gboolean on_writable(gint, GIOCondition, gpointer data) {
     auto* c = static_cast<Connection*>(data);
     c->impl.writable(c->id);
     return G_SOURCE_CONTINUE;
@@ -219,7 +225,7 @@
       if (g_socket_bind(socket.get(), address.get(), TRUE, &error) &&
           (!stream || g_socket_listen(socket.get(), &error))) {
         auto listener = std::make_unique<Listener>(Listener{*this, concern, std::move(socket), {}});
-        GSource* source = g_socket_create_source(listener->socket.get(), G_IO_IN, nullptr);
+        GSource* source = watch(listener->socket.get(), G_IO_IN);
         listener->source.start(source, stream ? &Impl::on_acceptable : &Impl::on_datagram, listener.get());
         listeners_.push_back(std::move(listener));
         return;
@@ -255,8 +261,7 @@
   }
 
   void watch_reading(Connection& c) {
-    if (!c.reading.running())
-      c.reading.start(g_socket_create_source(c.socket.get(), G_IO_IN, nullptr), &Impl::on_readable, &c);
+    if (!c.reading.running()) c.reading.start(watch(c.socket.get(), G_IO_IN), &Impl::on_readable, &c);
   }
 
   void carry_out(const Connect& e) {
@@ -280,7 +285,7 @@
     g_clear_error(&error);
     auto c = std::make_unique<Connection>(*this, e.conn, std::move(socket), limits_);
     c->connect_due = clock_now() + e.within;
-    c->writing.start(g_socket_create_source(c->socket.get(), G_IO_OUT, nullptr), &Impl::on_writable, c.get());
+    c->writing.start(watch(c->socket.get(), G_IO_OUT), &Impl::on_writable, c.get());
     arm(Timer{c->connect_due, ++timer_order_, connect_key(e.conn)});
     connections_.insert_or_assign(e.conn, std::move(c));
   }
@@ -368,7 +373,7 @@
     later(std::move(read));
   }
   void carry_out(const Log& e) { logger_.line(e.level, e.text); }
-  void carry_out(const Print& e) { std::cerr << e.text << std::flush; }
+  void carry_out(const Print& e) { (e.answer ? std::cout : std::cerr) << e.text << std::flush; }
   void carry_out(const Exit& e) {
     status_ = e.status;
     g_main_loop_quit(loop_);
@@ -387,12 +392,18 @@
   }
   void set_ready() {
     if (tick_ == nullptr) return;
+    // Each change wakes the loop by a write to itself, which cost a call more than its own messages did: only
+    // where the next time is another.
+    const Time next = !soon_.empty() ? Time{} : timers_.empty() ? Time::max() : timers_.top().at;
+    if (next == ready_for_) return;
+    ready_for_ = next;
     if (!soon_.empty()) return g_source_set_ready_time(tick_, 0);
     if (timers_.empty()) return g_source_set_ready_time(tick_, -1);
     const auto wait = std::chrono::duration_cast<std::chrono::microseconds>(timers_.top().at - clock_now());
     g_source_set_ready_time(tick_, g_get_monotonic_time() + std::max<std::int64_t>(0, wait.count()));
   }
   void fire() {
+    ready_for_.reset();
     for (const Event& event : std::exchange(soon_, {})) step(event);
     while (!timers_.empty()) {
       const Timer timer = timers_.top();
@@ -466,8 +477,7 @@
       if (!wait) return lose(id, true);
       if (c.out.size() > limits_.outbound_pause)
         c.reading.end();  // takes no more requests than it reads answers
-      if (!c.writing.running())
-        c.writing.start(g_socket_create_source(c.socket.get(), G_IO_OUT, nullptr), &Impl::on_writable, &c);
+      if (!c.writing.running()) c.writing.start(watch(c.socket.get(), G_IO_OUT), &Impl::on_writable, &c);
       return;
     }
     c.writing.end();
@@ -532,6 +542,7 @@
   Logger logger_;
   Reducer reducer_;
   GMainLoop* loop_ = nullptr;
+  std::optional<Time> ready_for_{};  // when the loop is to call again; absent: not said since it did
   GSource* tick_ = nullptr;
   std::optional<int> status_;
   std::map<ConnId, std::unique_ptr<Connection>> connections_;
--- a/tests/integration_test.cpp
+++ b/tests/integration_test.cpp
@@ -13,6 +13,8 @@
 namespace {
 
 std::string binary;
+std::string ctl_binary;
+std::string announcer_binary;
 
 std::string at(int port) { return "127.0.0.1:" + std::to_string(port); }
 
@@ -203,6 +205,87 @@
   CHECK(world.program->log().find("config.reloads_bad 1\n") != std::string::npos);
 }
 
+// The exit status and what it printed.
+std::pair<int, std::string> ctl(const std::string& words) {
+  FILE* pipe = ::popen((ctl_binary + " gap " + words + " 2>&1").c_str(), "r");
+  CHECK(pipe != nullptr);
+  std::string text;
+  char buffer[4096];
+  while (::fgets(buffer, sizeof buffer, pipe) != nullptr) text += buffer;
+  const int status = ::pclose(pipe);
+  return {WEXITSTATUS(status), text};
+}
+
+// Announced through an announcer that is killed afterwards and comes back with its file, and lifted.
+void gaps_are_announced_obeyed_and_lifted() {
+  const std::string control = at(free_port());
+  const std::string holder = at(free_port());
+  const std::string dir = std::string(::getenv("TMPDIR") ? ::getenv("TMPDIR") : "/tmp");
+  const std::string file = dir + "/graniterun-gaps-" + std::to_string(::getpid());
+  World world({{"control", {{"listen", control}}},
+               {"gaps", {{"fleet_size", 1}, {"fleet_index", 0}, {"hot", {{"gaps", 1}}}}}});
+  const auto start_announcer = [&] {
+    const pid_t pid = ::fork();
+    if (pid == 0) {
+      ::execl(announcer_binary.c_str(), announcer_binary.c_str(), "--listen", holder.c_str(), "--gatekeeper",
+              control.c_str(), "--file", file.c_str(), nullptr);
+      ::_exit(127);
+    }
+    return pid;
+  };
+  pid_t announcer = start_announcer();
+  Socket::connected(std::stoi(holder.substr(holder.rfind(':') + 1)));
+  world.program->wait_for_log("an announcer of gaps is here");
+  const auto [status, text] =
+      ctl("announce hiker --to " + holder + " --number 7f3a9c21e0b4d655 --one-in none --words busy");
+  CHECK_EQ(status, 0);
+  CHECK(text.find("1 of 1 gatekeepers obey") != std::string::npos);
+  world.caller.send(set_up("00000000000000aa", 5000));
+  const json refused = json::parse(world.caller.line());
+  CHECK(refused["cause"] == 42 && refused["fields"]["reason"] == "busy" &&
+        refused["fields"].contains("wait"));
+  ::kill(announcer, SIGKILL);
+  ::waitpid(announcer, nullptr, 0);
+  CHECK_EQ(ctl("list --to " + holder).first, 3);
+  world.caller.send(set_up("00000000000000ab", 5000));  // it holds to its own end
+  CHECK_EQ(json::parse(world.caller.line())["cause"], 42);
+  announcer = start_announcer();
+  Socket::connected(std::stoi(holder.substr(holder.rfind(':') + 1)));
+  const auto [listed, gaps] = ctl("list --json --to " + holder + "," + control);
+  CHECK_EQ(json::parse(gaps)["targets"][0]["gaps"][0]["id"], "hiker");
+  CHECK_EQ(json::parse(gaps)["targets"][1]["gaps"][0]["gapped"], 2);
+  CHECK_EQ(ctl("lift hiker --to " + holder).first, 0);
+  world.caller.send(set_up("00000000000000ac", 5000));
+  const sip::Message invite = world.from_server();
+  CHECK_EQ(invite.method, "INVITE");
+  world.answer(invite, "200 OK", "answer");
+  CHECK_EQ(json::parse(world.caller.line())["type"], "answer");
+  // What is wrong with a call is said in plain words, and nothing is announced.
+  for (const std::string words : {"announce x --number 1 --one-in 5", "announce x --one-in 1s", "announce x",
+                                  "announce x --number 1 --one-in 1s --for 25h", "lift", "burn"}) {
+    const auto [wrong, why] = ctl(words + " --to " + holder);
+    CHECK_EQ(wrong, 2);
+    CHECK(!why.empty());
+  }
+  ::kill(announcer, SIGKILL);
+  ::waitpid(announcer, nullptr, 0);
+  ::unlink(file.c_str());
+}
+
+void a_bad_deploy_file_is_one_plain_line() {
+  const Socket taken = Socket::bound(SOCK_STREAM);
+  const json config = {{"listen", at(taken.port())}, {"seed", "1"}, {"settings", settings()}};
+  for (
+      const std::string deploy :
+      {R"({"gaps":{}})", R"({"control":{}})", R"({"control":{"listen":"127.0.0.1:1","connections":0}})",
+       R"({"control":{"listen":"127.0.0.1:1"},"gaps":{"fleet_size":2,"fleet_index":2}})",
+       R"({"control":{"listen":"127.0.0.1:1"},"gaps":{"hot":{"from_per_second":1,"below_per_second":1}}})"}) {
+    Program program(binary, config.dump(), deploy);
+    CHECK_EQ(program.exit_status(), 1);
+    CHECK(program.log().starts_with("graniterun: ") && program.log().find('\n') == program.log().size() - 1);
+  }
+}
+
 void a_bad_configuration_is_one_plain_line() {
   for (const std::string config :
        {"", "[]", R"({"listen":"127.0.0.1:1"})", R"({"listen":5,"seed":"1","settings":{}})",
@@ -224,7 +307,11 @@
 
 int main(int, char** argv) {
   binary = argv[1];
+  ctl_binary = argv[2];
+  announcer_binary = argv[3];
   a_bad_configuration_is_one_plain_line();
+  a_bad_deploy_file_is_one_plain_line();
+  gaps_are_announced_obeyed_and_lifted();
   the_platform_is_served_until_it_is_stopped();
   a_reload_moves_the_journal_and_leaves_calls_alone();
   sip_is_served_over_udp_and_tcp_and_traced();
--- a/tests/stand_in.h
+++ b/tests/stand_in.h
@@ -171,6 +171,7 @@
     }
   }
   void signal(int number) const { ::kill(pid_, number); }
+  int pid() const { return pid_; }
   int exit_status() {
     int status = 0;
     CHECK_EQ(::waitpid(std::exchange(pid_, -1), &status, 0) > 0, true);
