Tell SIP neighbours of call gaps, and take theirs: the load-control package of RFC 7200

Need: neighbours that go on sending gapped calls cost us their refusal; their own floods reach us unasked.

Change: control/load_control reads and writes the documents (pugixml; what is not understood is refused whole), front/load_control is notifier and subscriber over the SIP front with expiry, refresh and bounded subscriptions. What a neighbour asks for is held as gaps of its own name, and lifted when its document no longer names it.

--- a/src/app/gatekeeper.cpp
+++ b/src/app/gatekeeper.cpp
@@ -40,6 +40,7 @@
   s.class_names = config.class_names;
   s.seed = config.seed;
   s.most_connections = most_callers(config) / 2;
+  s.load_control_from = deploy.load_control_from;
   const auto& classes = config.settings.classes;
   for (const CallClass& c : classes) s.patience.push_back(c.patience);
   const auto by_worth = [](const CallClass& a, const CallClass& b) { return a.worth < b.worth; };
@@ -115,6 +116,11 @@
   part(net::Concern::sip) = step_of(sip_);
   if (trunk_) part(net::Concern::trunk) = step_of(*trunk_);
   part(net::Concern::control) = step_of(control_);
+  if (deploy_.control) {
+    sip_.share_gaps(
+        {[this](Time now) { return control_.gaps().list(now); }, [this] { return control_.gaps().digest(); },
+         [this](Time now, const limits::Announcement& a, Outbox& out) { control_.hold(now, a, out); }});
+  }
   part(net::Concern::journal) = [this, step = step_of(journal_)](Time now, const net::Event& event,
                                                                  Outbox& out) {
     step(now, event, out);
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -190,6 +190,13 @@
       const std::string& t = c.sip_server_transport;
       if (t != "platform" && t != "udp" && t != "tcp")
         throw BadConfig("'servers' is not one of platform, udp, tcp");
+      for (const json& one : sip.value("load_control_from", json::array())) {
+        if (!one.is_string() || c.load_control_from.size() >= 64)
+          throw BadConfig("'load_control_from' is not a list of at most 64 addresses");
+        c.load_control_from.push_back(one.get<std::string>());
+      }
+      if (!c.load_control_from.empty() && !whole_file.contains("control"))
+        throw BadConfig("'load_control_from' needs a 'control', whose gaps it adds to");
       if (t != "platform") c.sip_servers_from = text(sip, "servers_from");
     }
     for (const json& one : whole_file.value("contracts", json::array())) {
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -59,6 +59,7 @@
   std::optional<std::string> sip_tcp{};
   std::string sip_server_transport{"platform"};  // how setup servers are spoken to: platform, udp or tcp
   std::string sip_servers_from{};                // the address of ours that they see, for udp and tcp
+  std::vector<std::string> load_control_from{};  // SIP neighbours whose load control is asked for
   std::vector<core::Contract> contracts{};
   std::optional<std::string> collector{};  // OTLP over HTTP
   std::string collector_host{};
--- a/src/control/control.cpp
+++ b/src/control/control.cpp
@@ -192,7 +192,6 @@
   throw BadLine("'op' is not one of announce, list, watch, announcer, synced, demand, grant");
 }
 
-// Takes an announcement into the register, wherever it came from, and tells those who watch.
 Taken Control::hold(Time now, const Announcement& a, Outbox& out) {
   const Taken taken = register_->announce(now, a);
   counters_.add("gaps." + std::string(word_of(taken)));
--- a/src/control/control.h
+++ b/src/control/control.h
@@ -29,6 +29,9 @@
 
   limits::Verdict check(Time now, std::string_view number, std::string_view class_name);
   bool ready(Time now) const;
+  // Takes an announcement into the register, wherever it came from, and tells those who watch.
+  limits::Taken hold(Time now, const limits::Announcement& a, Outbox& out);
+  const limits::GapRegister& gaps() const { return *register_; }  // from the start on
 
  private:
   struct Peer {
@@ -40,7 +43,6 @@
   void take(Time now, net::ConnId conn, const nlohmann::json& line, Outbox& out);
   void announce(Time now, net::ConnId conn, const nlohmann::json& line, Outbox& out);
   void list(Time now, net::ConnId conn, const nlohmann::json& line, Outbox& out);
-  limits::Taken hold(Time now, const limits::Announcement& a, Outbox& out);
   void reply(Time now, net::ConnId conn, const nlohmann::json& line, nlohmann::json answer, Outbox& out);
   template <class To>
   void tell(const nlohmann::json& event, To to, Outbox& out);
--- a/src/front/sip.cpp
+++ b/src/front/sip.cpp
@@ -10,14 +10,13 @@
 
 using namespace std::chrono_literals;
 
-constexpr std::string_view kAllow = "INVITE, ACK, CANCEL, BYE, OPTIONS";
+constexpr std::string_view kAllow = "INVITE, ACK, CANCEL, BYE, OPTIONS, SUBSCRIBE, NOTIFY";
 constexpr std::size_t kMostCalls = 20000;
 constexpr Duration kNotReady = 2s;
 constexpr Duration kLook = 200ms;
 constexpr std::uint64_t kLookTimer = ~std::uint64_t{0} >> 2;  // apart from those of the transactions
 
-const char* const kOthersKnown[] = {"REGISTER", "SUBSCRIBE", "NOTIFY", "MESSAGE", "INFO",
-                                    "PRACK",    "UPDATE",    "REFER",  "PUBLISH"};
+const char* const kOthersKnown[] = {"REGISTER", "MESSAGE", "INFO", "PRACK", "UPDATE", "REFER", "PUBLISH"};
 
 std::string retry_after(Duration wait) {
   return std::to_string(std::max<std::int64_t>(1, std::chrono::ceil<std::chrono::seconds>(wait).count()));
@@ -109,10 +108,12 @@
       keeper_(settings_.most_connections, std::nullopt),
       transport_(net::Concern::sip, counters),
       transactions_(net::Concern::sip, transport_, counters),
+      load_control_({settings_.udp, settings_.tcp, settings_.load_control_from, settings_.seed},
+                    transactions_, counters),
       words_(settings_.seed) {}
 
 void Sip::start(Time now, Outbox& out) const {
-  if (settings_.tcp) out.arm(net::Concern::sip, kLookTimer, now + kLook);
+  if (settings_.tcp || settings_.udp) out.arm(net::Concern::sip, kLookTimer, now + kLook);
   if (settings_.udp) out.net.push_back(net::Bind{net::Concern::sip, *settings_.udp});
   if (settings_.tcp) out.net.push_back(net::Listen{net::Concern::sip, *settings_.tcp});
 }
@@ -171,7 +172,9 @@
     const sip::Flow flow = note_source(incoming.flow, m);
     return take_request(now, flow, m, out);
   }
-  transactions_.take_answer(now, m, out);  // to our BYE: nothing follows from it
+  // To our BYE: nothing follows from it.
+  if (const std::string key = transactions_.take_answer(now, m, out); !key.empty())
+    load_control_.answered(now, key, m, out);
 }
 
 // 400 where the transaction can be read; else a stream is closed and a datagram dropped.
@@ -218,6 +221,8 @@
     return call == nullptr ? refuse(now, key, 481, out) : reinvite(now, key, *call, m, out);
   }
   if (m.method == "BYE") return bye(now, key, m, out);
+  if (m.method == "SUBSCRIBE") return load_control_.subscribed(now, key, flow, m, out);
+  if (m.method == "NOTIFY") return load_control_.notified(now, key, m, out);
   if (m.method == "OPTIONS") {
     sip::Message answer =
         sip::answer_to(m, ready_ ? 200 : 503, sip::phrase_of(ready_ ? 200 : 503), words_.next());
@@ -390,9 +395,11 @@
 void Sip::on(Time now, const net::TimerFired& e, Outbox& out) {
   if (e.key.number == kLookTimer) {
     out.arm(net::Concern::sip, kLookTimer, now + kLook);
+    load_control_.tick(now, out);
     return make_room(now, out);
   }
   for (const sip::Lapse& lapse : transactions_.fired(now, e.key.number, out)) {
+    if (lapse.what == sip::Lapse::What::no_answer) load_control_.unanswered(now, lapse.key);
     if (lapse.what != sip::Lapse::What::no_ack) continue;
     const auto it = by_invite_.find(lapse.key);
     if (it == by_invite_.end()) continue;
--- a/src/front/sip.h
+++ b/src/front/sip.h
@@ -13,6 +13,7 @@
 #include "core/counters.h"
 #include "core/words.h"
 #include "front/keeper.h"
+#include "front/load_control.h"
 #include "net/outbox.h"
 #include "sip/transactions.h"
 
@@ -27,6 +28,7 @@
   std::size_t default_class{};
   std::uint64_t seed{};
   std::size_t most_connections{64};
+  std::vector<std::string> load_control_from{};  // neighbours whose load control is asked for
 };
 
 class Sip {
@@ -42,6 +44,8 @@
   void on(Time now, const net::Datagram& e, Outbox& out);
   void on(Time now, const net::TimerFired& e, Outbox& out);
   void ready(bool ready) { ready_ = ready; }
+  // Where gaps can be announced: neighbours are told of them, and may ask for some.
+  void share_gaps(GapSource source) { load_control_.source(std::move(source)); }
 
   void apply(Time now, const core::Serve& e, Outbox& out);
   void apply(Time now, const core::TurnDown& e, Outbox& out);
@@ -97,6 +101,7 @@
   SeldomWarning refused_;
   sip::Transport transport_;
   sip::Transactions transactions_;
+  LoadControl load_control_;
   std::unordered_map<CallId, Call> calls_;
   std::map<std::string, CallId> by_invite_;  // key of the transaction
   std::map<std::string, CallId> by_dialog_;  // Call-ID, our tag, the caller's tag
--- a/src/sip/transactions.cpp
+++ b/src/sip/transactions.cpp
@@ -52,10 +52,16 @@
       return "Bad Request";
     case 405:
       return "Method Not Allowed";
+    case 406:
+      return "Not Acceptable";
+    case 415:
+      return "Unsupported Media Type";
     case 416:
       return "Unsupported URI Scheme";
     case 420:
       return "Bad Extension";
+    case 423:
+      return "Interval Too Brief";
     case 480:
       return "Temporarily Unavailable";
     case 481:
@@ -70,6 +76,8 @@
       return "Request Terminated";
     case 488:
       return "Not Acceptable Here";
+    case 489:
+      return "Bad Event";
     case 491:
       return "Request Pending";
     case 500:
--- a/tests/control_test.cpp
+++ b/tests/control_test.cpp
@@ -5,6 +5,7 @@
 
 #include "control/announcer.h"
 #include "control/ctl.h"
+#include "control/load_control.h"
 #include "lab.h"
 
 using namespace graniterun;
@@ -260,6 +261,144 @@
   }
 }
 
+// ---- SIP neighbours (RFC 7200)
+
+const std::string kPeer = "127.0.0.1:6000";
+
+std::string subscribe(int cseq, int expires, const std::string& to_tag = {}, const std::string& more = {},
+                      const std::string& event = "load-control") {
+  return "SUBSCRIBE sip:gate@net SIP/2.0\r\nVia: SIP/2.0/UDP " + kPeer + ";branch=z9hG4bKs" +
+         std::to_string(cseq) + "\r\nFrom: <sip:n@trail.example>;tag=f\r\nTo: <sip:gate@net>" +
+         (to_tag.empty() ? "" : ";tag=" + to_tag) + "\r\nCall-ID: sub\r\nCSeq: " + std::to_string(cseq) +
+         " SUBSCRIBE\r\nContact: <sip:n@" + kPeer + ">\r\nEvent: " + event +
+         "\r\nExpires: " + std::to_string(expires) + "\r\n" + more +
+         "Max-Forwards: 70\r\nContent-Length: 0\r\n\r\n";
+}
+
+struct PeerLab : GapLab {
+  std::vector<sip::Message> peer() {
+    std::vector<sip::Message> all;
+    for (const auto& d : std::exchange(datagrams, {})) all.push_back(sip::read_datagram(d.bytes).message);
+    return all;
+  }
+  void from_peer(const std::string& text) { tell(net::Datagram{Concern::sip, kPeer, text}); }
+  void answer(const sip::Message& request, int status) {
+    from_peer(sip::answer_to(request, status, "x", "n").text());
+  }
+  std::size_t rules(const sip::Message& notify) { return read_load_control(notify.body).rules.size(); }
+};
+
+void a_neighbour_is_told_of_gaps_while_it_subscribes() {
+  PeerLab lab;
+  lab.from_peer(subscribe(1, 600));
+  auto all = lab.peer();
+  CHECK_EQ(all.size(), 2U);
+  CHECK(all[0].status == 200 && all[0].header("Expires") == "600");
+  const std::string tag(sip::parameter(all[0].header("To"), "tag"));
+  CHECK(all[1].method == "NOTIFY" && all[1].header("Subscription-State") == "active;expires=600");
+  CHECK_EQ(lab.rules(all[1]), 0U);
+  lab.answer(all[1], 200);
+  lab.tell_desk(announce(gap(lab.now, "g", 1, {{"numbers", {"4711"}}, {"interval_ms", 500}})));
+  lab.tell_desk(
+      announce(gap(lab.now, "each", 1, {{"prefixes", {"48"}}, {"shape", "each"}})));  // no rule says it
+  lab.pass(300ms);
+  all = lab.peer();
+  CHECK_EQ(all.size(), 1U);
+  const LoadDocument told = read_load_control(all[0].body);
+  CHECK(told.version == 1 && told.rules.size() == 1 && told.rules[0].figure == 2.0);
+  CHECK(told.rules[0].numbers == std::vector<std::string>{"4711"});
+  lab.answer(all[0], 200);
+  lab.tell_desk(announce(lift(lab.now, "g", 2)));
+  lab.pass(300ms);
+  all = lab.peer();
+  CHECK_EQ(lab.rules(all.at(0)), 0U);
+  lab.answer(all[0], 200);
+  lab.from_peer(subscribe(2, 60, tag));  // refreshed: the whole again
+  all = lab.peer();
+  CHECK(all.size() == 2 && all[0].header("Expires") == "60" && all[1].method == "NOTIFY");
+  lab.answer(all[1], 200);
+  lab.pass(61s);
+  all = lab.peer();
+  CHECK(all.size() >= 1 && all[0].header("Subscription-State") == "terminated;reason=timeout");
+  lab.answer(all[0], 200);
+  lab.from_peer(subscribe(3, 60, tag));
+  CHECK_EQ(lab.peer().at(0).status, 481);
+}
+
+void subscriptions_end_with_their_neighbour_and_are_bounded() {
+  PeerLab lab;
+  lab.from_peer(subscribe(1, 600));
+  auto all = lab.peer();
+  lab.answer(all.at(1), 481);  // it has forgotten
+  lab.tell_desk(announce(gap(lab.now, "g", 1, {{"numbers", {"4711"}}})));
+  lab.pass(1s);
+  CHECK(lab.peer().empty());
+  lab.from_peer(subscribe(2, 600, {}, {}, "presence"));
+  CHECK_EQ(lab.peer().at(0).status, 489);
+  lab.from_peer(subscribe(3, 600, {}, "Accept: text/plain\r\n"));
+  CHECK_EQ(lab.peer().at(0).status, 406);
+  lab.from_peer(subscribe(4, 2));
+  all = lab.peer();
+  CHECK(all.at(0).status == 423 && all[0].header("Min-Expires") == "5");
+  for (int i = 10; i < 74; ++i) lab.from_peer(subscribe(i, 600));
+  lab.peer();
+  lab.from_peer(subscribe(80, 600));
+  CHECK_EQ(lab.peer().at(0).status, 503);
+  lab.pass(40s);  // none of their NOTIFYs is answered: they are dropped, and there is room again
+  lab.peer();
+  lab.from_peer(subscribe(81, 600));
+  CHECK_EQ(lab.peer().at(0).status, 200);
+}
+
+// Two gatekeepers as neighbours: what is gapped at one is refused at the other before it comes to the first.
+void a_neighbour_stops_gapped_calls_before_they_come() {
+  GapLab far;
+  DeployConfig d = with_control();
+  d.sip_udp = "127.0.0.1:5061";
+  d.load_control_from = {"127.0.0.1:5060"};
+  GapLab near(d);
+  const auto run = [&](Duration span) {
+    for (Duration t{}; t < span; t += 50ms) {
+      far.pass(50ms);
+      near.pass(50ms);
+      for (int i = 0; i < 4; ++i) {
+        for (const auto& m : std::exchange(near.datagrams, {}))
+          far.tell(net::Datagram{Concern::sip, "127.0.0.1:5061", m.bytes});
+        for (const auto& m : std::exchange(far.datagrams, {}))
+          near.tell(net::Datagram{Concern::sip, "127.0.0.1:5060", m.bytes});
+      }
+    }
+  };
+  run(1s);
+  far.tell_desk(announce(gap(far.now, "g", 1, {{"numbers", {"4711"}}, {"interval_ms", "none"}})));
+  run(1s);
+  near.tell(net::Accepted{kCaller});
+  near.call(near.id(1));
+  CHECK_EQ(*near.lines(kCaller).at(0).cause, 42);
+  far.tell_desk(announce(lift(far.now, "g", 2)));
+  run(1s);
+  near.call(near.id(2));
+  CHECK_EQ(near.messages(near.s0).at(0).method, "INVITE");
+  // A NOTIFY that answers to no subscription of ours, however well formed, changes nothing.
+  LoadDocument bad;
+  bad.version = 99;
+  bad.rules.push_back({"x", {"4712"}, {}, {}, {}, LoadRule::How::rate, 0.0});
+  sip::Message m;
+  m.method = "NOTIFY";
+  m.uri = "sip:127.0.0.1:5061";
+  for (const auto& [name, value] :
+       {std::pair{"Via", "SIP/2.0/UDP 127.0.0.1:6000;branch=z9hG4bKx"}, std::pair{"From", "<sip:x@y>;tag=1"},
+        std::pair{"To", "<sip:z@y>;tag=2"}, std::pair{"Call-ID", "guessed"}, std::pair{"CSeq", "1 NOTIFY"},
+        std::pair{"Event", "load-control"}, std::pair{"Subscription-State", "active"},
+        std::pair{"Content-Type", "application/load-control+xml"}})
+    m.add(name, value);
+  m.body = write_load_control(bad);
+  near.tell(net::Datagram{Concern::sip, kPeer, m.text()});
+  CHECK_EQ(sip::read_datagram(near.datagrams.back().bytes).message.status, 481);
+  near.call(near.id(3), "4712");
+  CHECK_EQ(near.messages(near.s0).at(0).method, "INVITE");
+}
+
 // ---- the announcer with a fleet
 
 // Programs and the connections between them; bytes are handed over in order, whenever `run` says.
@@ -606,6 +745,9 @@
   malformed_lines_are_refused_and_harm_nobody();
   a_hundred_silent_connections_leave_room_for_an_operator();
   the_program_is_ready_once_it_has_the_register();
+  a_neighbour_is_told_of_gaps_while_it_subscribes();
+  subscriptions_end_with_their_neighbour_and_are_bounded();
+  a_neighbour_stops_gapped_calls_before_they_come();
   an_operator_sees_that_all_obey();
   gaps_announced_at_gatekeepers_reach_all();
   the_announcer_killed_in_the_middle_of_a_push();
