Hold a neighbour's load control as long as it is refreshed; tell hot numbers over OTLP

Cause: gaps that a neighbour asked for ended with the span known when its document came, not with the refreshed one. Need: hot numbers were told in the log and to operators only.

--- a/src/app/gatekeeper.cpp
+++ b/src/app/gatekeeper.cpp
@@ -130,7 +130,7 @@
   part(net::Concern::collector) = [this, step = step_of(exporter_)](Time now, const net::Event& event,
                                                                     Outbox& out) {
     if (const auto* e = std::get_if<net::TimerFired>(&event))
-      return exporter_.on(now, *e, all_counters(), out);
+      return exporter_.on(now, *e, all_counters(), control_.gauges(now), out);
     step(now, event, out);
   };
   part(net::Concern::process) = [](Time now, const net::Event&, Outbox& out) {
--- a/src/control/control.cpp
+++ b/src/control/control.cpp
@@ -45,6 +45,20 @@
   return verdict;
 }
 
+std::vector<Gauge> Control::gauges(Time now) const {
+  std::vector<Gauge> all;
+  for (const HotNumber& h : hot_ ? hot_->hot(now) : std::vector<HotNumber>{}) {
+    if (all.size() >= kMostHot) break;
+    all.push_back({"gaps.hot_number",
+                   "{call}/s",
+                   h.rate,
+                   {{"number", h.number},
+                    {"since_unix_ms", std::to_string(to_ms(h.since))},
+                    {"gapped", h.gapped ? "true" : "false"}}});
+  }
+  return all;
+}
+
 // ---- connections
 
 void Control::on(Time now, const net::Accepted& e, Outbox& out) {
--- a/src/control/control.h
+++ b/src/control/control.h
@@ -31,6 +31,8 @@
   bool ready(Time now) const;
   // Takes an announcement into the register, wherever it came from, and tells those who watch.
   limits::Taken hold(Time now, const limits::Announcement& a, Outbox& out);
+  // Of each number that is hot: its rate, and since when.
+  std::vector<Gauge> gauges(Time now) const;
   const limits::GapRegister& gaps() const { return *register_; }  // from the start on
 
  private:
--- a/src/core/counters.h
+++ b/src/core/counters.h
@@ -5,9 +5,19 @@
 #include <map>
 #include <string>
 #include <string_view>
+#include <utility>
+#include <vector>
 
 namespace graniterun {
 
+// A figure of one thing at one time, such as how hot a number is.
+struct Gauge {
+  std::string name{};
+  std::string unit{};
+  double value{};
+  std::vector<std::pair<std::string, std::string>> attributes{};
+};
+
 class Counters {
  public:
   void add(std::string_view name, std::uint64_t count = 1) {
--- a/src/front/load_control.cpp
+++ b/src/front/load_control.cpp
@@ -186,7 +186,7 @@
     d.local =
         "<sip:graniterun@" + settings_.udp.value_or(settings_.tcp.value_or("")) + ">;tag=" + words_.next();
     d.remote = "<sip:" + n.address + ">";
-    n.version.reset();
+    n.fresh = true;
   }
   ++d.cseq;
   sip::Message m = request(d, "SUBSCRIBE");
@@ -221,6 +221,7 @@
     const Duration lasts = std::min<Duration>(kLongest, std::chrono::seconds(*span));
     n.ends = now + lasts;
     n.next = now + lasts / 2;
+    hold(now, n, out);  // for as long as it was refreshed
   }
 }
 
@@ -256,7 +257,14 @@
   if (!m.body.empty()) {
     if (word_in(m.header("Content-Type")) != kType) return refuse(now, key, 415, out, "Accept", kType);
     try {
-      take(now, n, control::read_load_control(m.body), out);
+      control::LoadDocument document = control::read_load_control(m.body);
+      control::gaps_of(document, n.address, now, now + kLongest);  // understood as a whole, or refused
+      const bool late = n.document && !n.fresh && document.version <= n.document->version;
+      if (!late) {
+        n.document = std::move(document);
+        n.fresh = false;
+        hold(now, n, out);
+      }
     } catch (const control::BadDocument& trouble) {
       // Refused whole: what was held before goes on.
       counters_.add("load_control.documents_refused");
@@ -271,12 +279,11 @@
   n.next = now + kAgain;
 }
 
-// The document is the whole of what the neighbour asks for: what it no longer names is lifted.
-void LoadControl::take(Time now, Neighbour& n, const control::LoadDocument& document, Outbox& out) {
+// The last document is the whole of what the neighbour asks for: what it no longer names is lifted.
+void LoadControl::hold(Time now, Neighbour& n, Outbox& out) {
+  if (!n.document || !source_.hold) return;
   const Time until = n.ends.value_or(now + kLongest);
-  const std::vector<limits::Announcement> gaps = control::gaps_of(document, n.address, now, until);
-  if (n.version && document.version <= *n.version) return;  // late
-  n.version = document.version;
+  const std::vector<limits::Announcement> gaps = control::gaps_of(*n.document, n.address, now, until);
   std::set<std::string> held;
   for (const limits::Announcement& a : gaps) {
     source_.hold(now, a, out);
--- a/src/front/load_control.h
+++ b/src/front/load_control.h
@@ -71,10 +71,11 @@
     std::string address{};
     Dialog dialog{};
     std::string transaction{};
-    Time next{};                 // to subscribe, or to refresh
-    std::optional<Time> ends{};  // of the subscription
-    std::optional<std::uint32_t> version{};
-    std::set<std::string> held{};  // gaps that its last document stands for
+    Time next{};                                      // to subscribe, or to refresh
+    std::optional<Time> ends{};                       // of the subscription
+    bool fresh = false;                               // subscribed anew: versions count from the start
+    std::optional<control::LoadDocument> document{};  // the last one
+    std::set<std::string> held{};                     // gaps that it stands for
   };
 
   void refuse(Time now, const std::string& key, int status, Outbox& out, const char* header = nullptr,
@@ -83,7 +84,7 @@
               Outbox& out);
   void notify(Time now, Subscription& s, const std::string& state, Outbox& out);
   void subscribe(Time now, Neighbour& n, Outbox& out);
-  void take(Time now, Neighbour& n, const control::LoadDocument& document, Outbox& out);
+  void hold(Time now, Neighbour& n, Outbox& out);
   sip::Message request(const Dialog& d, const std::string& method);
   std::string contact(bool reliable) const;
 
--- a/src/otlp/exporter.cpp
+++ b/src/otlp/exporter.cpp
@@ -105,7 +105,7 @@
          scope().dump() + R"(,"spans":[)" + joined + "]}]}]}";
 }
 
-std::string Exporter::metrics(Time now, const Counters& all) const {
+std::string Exporter::metrics(Time now, const Counters& all, const std::vector<Gauge>& gauges) const {
   json list = json::array();
   for (const auto& [name, value] : all.all()) {
     json point = {{"startTimeUnixNano", nanos(started_)},
@@ -120,13 +120,27 @@
   resource["resource"]["attributes"] = {attribute("service.name", "graniterun"),
                                         attribute("service.instance.id", settings_.service_instance)};
   resource["scopeMetrics"][0]["scope"] = scope();
+  // One metric for each name, with a point for each thing it is told of.
+  std::map<std::string, json> by_name;
+  for (std::size_t i = 0; i < gauges.size() && i < kMostGauges; ++i) {
+    const Gauge& g = gauges[i];
+    json& metric = by_name[g.name];
+    metric["name"] = g.name;
+    metric["unit"] = g.unit;
+    json point = {{"timeUnixNano", nanos(now)}, {"asDouble", g.value}};
+    for (const auto& [name, value] : g.attributes)
+      point["attributes"].push_back(attribute(name.c_str(), value));
+    metric["gauge"]["dataPoints"].push_back(std::move(point));
+  }
+  for (auto& [name, metric] : by_name) list.push_back(std::move(metric));
   resource["scopeMetrics"][0]["metrics"] = list;
   return whole.dump();
 }
 
 // ---- sending
 
-void Exporter::on(Time now, const net::TimerFired&, const Counters& all, Outbox& out) {
+void Exporter::on(Time now, const net::TimerFired&, const Counters& all, const std::vector<Gauge>& gauges,
+                  Outbox& out) {
   out.arm(net::Concern::collector, 0, now + settings_.every);
   if (in_flight_ && now - sent_at_ > kAnswerWithin) {
     out.close({net::Concern::collector, conn_});
@@ -138,7 +152,7 @@
     post.body = traces(post.spans);
     posts_.push_back(std::move(post));
   }
-  if (posts_.size() < kMostPosts) posts_.push_back({"/v1/metrics", metrics(now, all)});
+  if (posts_.size() < kMostPosts) posts_.push_back({"/v1/metrics", metrics(now, all, gauges)});
   send_next(now, out);
 }
 
--- a/src/otlp/exporter.h
+++ b/src/otlp/exporter.h
@@ -7,6 +7,8 @@
 #include <functional>
 #include <optional>
 #include <string>
+#include <utility>
+#include <vector>
 
 #include "core/counters.h"
 #include "core/words.h"
@@ -15,6 +17,8 @@
 
 namespace graniterun::otlp {
 
+constexpr std::size_t kMostGauges = 64;  // told in an export
+
 struct ExporterSettings {
   std::optional<std::string> collector{};  // address:port; none: it is off
   std::string host{};                      // for the Host header
@@ -33,7 +37,8 @@
   void on(Time now, const net::ConnectFailed& e, Outbox& out);
   void on(Time now, const net::Received& e, Outbox& out);
   void on(Time now, const net::Closed& e, Outbox& out);
-  void on(Time now, const net::TimerFired& e, const Counters& all, Outbox& out);
+  void on(Time now, const net::TimerFired& e, const Counters& all, const std::vector<Gauge>& gauges,
+          Outbox& out);
 
  private:
   struct Post {
@@ -44,7 +49,7 @@
   };
 
   std::string traces(std::size_t& count);
-  std::string metrics(Time now, const Counters& all) const;
+  std::string metrics(Time now, const Counters& all, const std::vector<Gauge>& gauges) const;
   void send_next(Time now, Outbox& out);
   void failed(Outbox& out, bool again);
 
