Format the gap measurement

Cause: one line of bench/gap_bench.cpp was over the style's width and make lint fails on it. Change: formatted, nothing else.

--- a/bench/gap_bench.cpp
+++ b/bench/gap_bench.cpp
@@ -117,8 +117,7 @@
   std::map<std::int64_t, std::size_t> used;
   const auto slot_at = [&](Time t) { return (t - start) / interval; };
   for (const lab::CallRecord& c : calls) {
-    if (c.flow != flow || c.sent < begins || c.sent >= ends || c.finals == 0 || c.worded)
-      continue;
+    if (c.flow != flow || c.sent < begins || c.sent >= ends || c.finals == 0 || c.worded) continue;
     std::int64_t slot = slot_at(c.sent);
     const std::int64_t last = slot_at(c.answered);
     while (slot < last && used.contains(slot)) ++slot;
@@ -167,7 +166,8 @@
   std::thread desk([&] {
     std::this_thread::sleep_for(4500ms);
     const std::string to = " --to " + announcer;
-    const json told = ctl(std::string(argv[3]) + " gap announce hiker --number 4711 --one-in 50ms --words gapped" + to);
+    const json told =
+        ctl(std::string(argv[3]) + " gap announce hiker --number 4711 --one-in 50ms --words gapped" + to);
     if (told.is_object()) started = told.value("version", std::int64_t{0});
     for (int i = 0; i < 40; ++i) {
       const std::string id = "probe" + std::to_string(i);
