Make one page of a list for the gatekeeper and the announcer

Cause: the control listener and the announcer each cut a list into pages with a loop and bounds of their own. Change: page_of in control/gap_json serves both, with the same bounds and fields; Slots::held and a figure of the gap measurement that nobody read are gone. No behaviour changes.

--- a/bench/gap_bench.cpp
+++ b/bench/gap_bench.cpp
@@ -197,11 +197,9 @@
   // At best 1 - e^-2.5: calls are Poisson, and each gatekeeper has 2.5 of them in a slot.
   tell("slots_used_evenly", evenly.share, "share", evenly.share > 0.9);
   tell("slots_used_at_one_gatekeeper", at_one.share, "share", at_one.share > 0.8);
-  double most = 0;
   for (const auto& [name, values] :
        {std::pair{"announce_to_obey_p99", &obeyed}, std::pair{"lift_to_obey_p99", &lifted}}) {
     const double p99 = lab::percentile(*values, 0.99);
-    most = std::max(most, p99);
     tell(name, p99, "ms", p99 < 200 && values->size() == 40 * kFleet);
   }
   std::size_t other = 0;
--- a/src/control/announcer.cpp
+++ b/src/control/announcer.cpp
@@ -18,7 +18,6 @@
 constexpr std::size_t kUnheard = 64;  // gaps pushed to a gatekeeper that it has not answered yet
 constexpr std::size_t kMostDeals = 4096;
 constexpr std::size_t kMostWaiting = 256;
-constexpr std::size_t kPage = 200;
 constexpr std::size_t kMostSlots = 1024;
 
 }  // namespace
@@ -371,27 +370,16 @@
     return reply(now, conn, line, {{"ok", true}}, out);
   }
   if (op == "list") {
-    json gaps = json::array();
-    std::size_t bytes = 0;
-    bool more = false;
-    for (const GapState& state :
-         register_.list(now, line.contains("after") ? text_in(line, "after") : "", kPage + 1)) {
-      json gap = to_json(*state.announcement);
-      gap["in_force"] = state.in_force;
-      bytes += gap.dump().size() + 1;
-      more = gaps.size() >= kPage || (bytes > kLargestGap && !gaps.empty());
-      if (more) break;
-      gaps.push_back(std::move(gap));
-    }
+    Page page = page_of(register_, now, line.contains("after") ? text_in(line, "after") : "", false);
     json fleet = json::array();
     for (const Gatekeeper& g : gatekeepers_) fleet.push_back(state_of(g));
     return reply(now, conn, line,
                  {{"ok", true},
                   {"digest", mark_text(register_.digest())},
                   {"held", register_.size()},
-                  {"gaps", std::move(gaps)},
+                  {"gaps", std::move(page.gaps)},
                   {"fleet", std::move(fleet)},
-                  {"more", more}},
+                  {"more", page.more}},
                  out);
   }
   if (op != "announce") throw BadLine("'op' is not one of announce, list, watch");
--- a/src/control/control.cpp
+++ b/src/control/control.cpp
@@ -15,7 +15,6 @@
 // Slots of the fleet are ceded so far ahead of their time.
 constexpr Duration kAhead = 1s;
 constexpr std::size_t kMostDemands = 100;  // in a report
-constexpr std::size_t kPage = 200;         // gaps of a list's answer, within kLargestGap bytes
 constexpr std::size_t kMostSlotsTold = 1024;
 constexpr std::size_t kMostHot = 20;  // numbers of a list's answer, the hottest
 
@@ -253,19 +252,7 @@
 
 void Control::list(Time now, net::ConnId conn, const json& line, Outbox& out) {
   const std::string after = line.contains("after") ? text_in(line, "after") : "";
-  json gaps = json::array();
-  std::size_t bytes = 0;
-  bool more = false;
-  for (const GapState& state : register_->list(now, after, kPage + 1)) {
-    json gap = to_json(*state.announcement);
-    gap["in_force"] = state.in_force;
-    gap["passed"] = state.passed;
-    gap["gapped"] = state.gapped;
-    bytes += gap.dump().size() + 1;
-    more = gaps.size() >= kPage || (bytes > kLargestGap && !gaps.empty());
-    if (more) break;
-    gaps.push_back(std::move(gap));
-  }
+  Page page = page_of(*register_, now, after, true);
   std::vector<HotNumber> hot = hot_ ? hot_->hot(now) : std::vector<HotNumber>{};
   hot.resize(std::min(hot.size(), kMostHot));
   reply(now, conn, line,
@@ -273,9 +260,9 @@
          {"digest", mark_text(register_->digest())},
          {"held", register_->size()},
          {"announcer", announcer_.has_value()},
-         {"gaps", std::move(gaps)},
+         {"gaps", std::move(page.gaps)},
          {"hot", to_json(hot)},
-         {"more", more}},
+         {"more", page.more}},
         out);
 }
 
--- a/src/control/gap_json.cpp
+++ b/src/control/gap_json.cpp
@@ -135,6 +135,24 @@
   return a;
 }
 
+Page page_of(const GapRegister& held, Time now, std::string_view after, bool counts) {
+  Page page;
+  std::size_t bytes = 0;
+  for (const GapState& state : held.list(now, after, kPage + 1)) {
+    json gap = to_json(*state.announcement);
+    gap["in_force"] = state.in_force;
+    if (counts) {
+      gap["passed"] = state.passed;
+      gap["gapped"] = state.gapped;
+    }
+    bytes += gap.dump().size() + 1;
+    page.more = page.gaps.size() >= kPage || (bytes > kLargestGap && !page.gaps.empty());
+    if (page.more) break;
+    page.gaps.push_back(std::move(gap));
+  }
+  return page;
+}
+
 json to_json(const std::vector<HotNumber>& hot) {
   json all = json::array();
   for (const HotNumber& h : hot)
--- a/src/control/gap_json.h
+++ b/src/control/gap_json.h
@@ -24,6 +24,15 @@
 nlohmann::json to_json(const limits::Announcement& a);
 limits::Announcement announcement_of(const nlohmann::json& object);  // throws BadLine
 
+// What a list answers with: the gaps after an id, as many as fit a line (kPage and kLargestGap bytes at most,
+// one at least), and whether there are more. `counts`: with the calls that passed and were gapped.
+constexpr std::size_t kPage = 200;
+struct Page {
+  nlohmann::json gaps = nlohmann::json::array();
+  bool more = false;
+};
+Page page_of(const limits::GapRegister& held, Time now, std::string_view after, bool counts);
+
 std::int64_t to_ms(Time t);
 Time from_ms(std::int64_t ms);
 std::string_view word_of(limits::Taken taken);
--- a/src/limits/slots.h
+++ b/src/limits/slots.h
@@ -58,7 +58,6 @@
                          bool each);
   void grant(const std::vector<SlotOf>& slots, Slot now);
   void drop_before(Slot slot);
-  std::size_t held() const { return ceded_.size() + granted_.size(); }
 
  private:
   Fleet fleet_;
