Serve one inherited listening socket with two processes; answer readyz and telemetry

Ruled out: the platform not passing descriptor 7 (a probe printed the environment and the socket accepts), a wrong signal (the old one gets SIGTERM only after readyz says OK). Change: the runtime takes an inherited listener, stops listening at SIGTERM, closes connections only when nothing unread has come, counts marked messages once written whole, keeps management connections beside the common limit; the broker tallies answers by class, the module tells what it avoids.

--- a/include/graniterun/controller.h
+++ b/include/graniterun/controller.h
@@ -222,6 +222,10 @@
   // Appends what is to be done, in order, at `now`.
   void handle(Time now, const Event& event, std::vector<Action>& actions);
 
+  // How many core servers of the list get no new set-ups at `now` but such as try them out: those that drain,
+  // and those whose wait leaves them no target. Changes nothing.
+  std::size_t avoided(Time now) const;
+
  private:
   class Impl;
   std::unique_ptr<Impl> impl_;
--- a/src/app/gatekeeper.cpp
+++ b/src/app/gatekeeper.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "management/telemetry.h"
+
 namespace graniterun {
 namespace {
 
@@ -13,6 +15,9 @@
 constexpr Duration kLook = 50ms;
 // The end comes no later than this after SIGTERM: the longest deadline counts as 3 s at most.
 constexpr Duration kLatestEnd = 3500ms;
+// With a successor: the longest deadline counts in full, and so long after it what stands is left to it.
+constexpr Duration kLatestDeadline = 5s;
+constexpr Duration kAfterDeadlines = 2s;
 
 template <class... Fs>
 struct Overloaded : Fs... {
@@ -76,7 +81,9 @@
       sip_(sip_settings(config, deploy), counters_),
       servers_(config.settings, config.areas, counters_),
       journal_(config.journal, config.known_position, counters_),
-      exporter_(exporter_settings(config, deploy), counters_) {
+      exporter_(exporter_settings(config, deploy), counters_),
+      management_(config.management, counters_) {
+  broker_.tallies().name(config.class_names);
   if (deploy.sip_server_transport != "platform") {
     trunk_.emplace(
         back::SipTrunkSettings{deploy.sip_server_transport == "tcp", deploy.sip_servers_from, config.seed},
@@ -116,6 +123,9 @@
   part(net::Concern::sip) = step_of(sip_);
   if (trunk_) part(net::Concern::trunk) = step_of(*trunk_);
   part(net::Concern::control) = step_of(control_);
+  part(net::Concern::management) = step_of(management_);
+  management_.answers("readyz", [this](Time now) { return readiness(now); });
+  management_.answers("telemetry", [this](Time now) { return telemetry(now); });
   if (deploy_.control) {
     sip_.share_gaps(
         {[this](Time now) { return control_.gaps().list(now); }, [this] { return control_.gaps().digest(); },
@@ -150,13 +160,43 @@
         event);
   }
   settle(now, out);
-  const bool ready = !stop_asked_ && control_.ready(now) && (trunk_ ? trunk_->ready() : servers_.ready());
-  platform_.ready(ready);
-  sip_.ready(ready);
+  const bool is_ready = ready(now);
+  if (is_ready && !listening_) listen(out);
+  platform_.ready(is_ready);
+  sip_.ready(is_ready);
   finish_if_drained(now, out);
   effects = std::move(out.net);
 }
 
+// With a successor at work the gatekeeper goes on being ready, though this process is about to end.
+bool Gatekeeper::ready(Time now) const {
+  return (!stop_asked_ || config_.inherited) && control_.ready(now) &&
+         (trunk_ ? trunk_->ready() : servers_.ready());
+}
+
+void Gatekeeper::listen(Outbox& out) {
+  listening_ = true;
+  out.net.push_back(net::Listen{net::Concern::platform, config_.listen, config_.inherited});
+  out.log(net::Level::info, config_.name + " listens on " + config_.listen);
+}
+
+std::string Gatekeeper::readiness(Time now) const {
+  if (stop_asked_) return "ERR this process was asked to stop\n";
+  if (!ready(now)) return "ERR setup servers are not reached yet\n";
+  return "OK ready\n";
+}
+
+std::string Gatekeeper::telemetry(Time now) const {
+  management::Figures f{broker_.tallies()};
+  f.tries = all_counters().of(trunk_ ? "trunk.invites" : "net.counted_written");
+  f.active = broker_.unanswered() + broker_.standing();
+  f.pool_size = trunk_ ? trunk_->listed() : servers_.listed();
+  f.pool_ejected = broker_.avoided(now);
+  f.config_applied = counters_.of("config.reloads");
+  f.config_rejected = counters_.of("config.reloads_bad");
+  return "OK\n" + management::statsd_text(f) + "END\n";
+}
+
 void Gatekeeper::settle(Time now, Outbox& out) {
   while (!out.core.empty()) {
     const std::vector<core::Event> events = std::exchange(out.core, {});
@@ -206,7 +246,8 @@
 // ---- events
 
 void Gatekeeper::on(Time now, const net::Started&, Outbox& out) {
-  out.net.push_back(net::Listen{net::Concern::platform, config_.listen});
+  // Whoever takes a connection from a socket that another process serves has to serve it at once.
+  if (!config_.inherited) listen(out);
   if (trunk_) {
     trunk_->start(now, out);
   } else {
@@ -224,13 +265,17 @@
   sip_.start(now, out);
   exporter_.start(now, out);
   control_.start(now, out);
-  out.log(net::Level::info, config_.name + " listens on " + config_.listen);
+  management_.start(now, out);
 }
 
 void Gatekeeper::on(Time now, const net::StopAsked&, Outbox& out) {
   if (stop_asked_) return;
   stop_asked_ = now;
   out.log(net::Level::info, config_.name + " was asked to stop");
+  if (config_.inherited) {
+    out.net.push_back(net::StopListening{net::Concern::platform});
+    platform_.hand_on(now, out);
+  }
   out.arm(net::Concern::process, 0, now + kLook);
 }
 
@@ -259,7 +304,13 @@
 
 void Gatekeeper::finish_if_drained(Time now, Outbox& out) {
   if (!stop_asked_ || now - *stop_asked_ < kStillComing) return;
-  if (broker_.unanswered() > 0 && now - *stop_asked_ < kLatestEnd) return;
+  const Duration asked_for = now - *stop_asked_;
+  if (config_.inherited) {
+    const bool over = broker_.unanswered() == 0 && broker_.standing() == 0 && platform_.connected() == 0;
+    if (!over && asked_for < kLatestDeadline + kAfterDeadlines) return;
+  } else if (broker_.unanswered() > 0 && asked_for < kLatestEnd) {
+    return;
+  }
   out.net.push_back(net::Print{counters_text()});
   out.net.push_back(net::Exit{0});
 }
--- a/src/app/gatekeeper.h
+++ b/src/app/gatekeeper.h
@@ -15,6 +15,7 @@
 #include "core/broker.h"
 #include "front/platform.h"
 #include "front/sip.h"
+#include "management/management.h"
 #include "net/outbox.h"
 #include "otlp/exporter.h"
 
@@ -39,6 +40,10 @@
   template <class Part>
   static Step step_of(Part& part);
   void wire();
+  bool ready(Time now) const;
+  void listen(Outbox& out);
+  std::string readiness(Time now) const;
+  std::string telemetry(Time now) const;
   core::Broker::Gate gate();
   void take_list(Time now, const HostList& list, ListKind kind, Outbox& out);
   const std::string& name_of(ServerId server) const;
@@ -62,6 +67,8 @@
   back::Journal journal_;
   otlp::Exporter exporter_;
   std::array<Step, net::kConcerns> parts_{};  // who is told of a concern's events
+  management::Management management_;
+  bool listening_ = false;  // for callers
   std::optional<Time> stop_asked_{};
 };
 
--- a/src/back/setup_servers.cpp
+++ b/src/back/setup_servers.cpp
@@ -175,6 +175,12 @@
   return any;
 }
 
+std::size_t SetupServers::listed() const {
+  return static_cast<std::size_t>(std::count_if(servers_.begin(), servers_.end(), [](const auto& s) {
+    return s.second.host.state != ServerState::terminated;
+  }));
+}
+
 const std::string& SetupServers::name_of(ServerId server) const {
   static const std::string kUnknown = "unknown";
   const auto it = servers_.find(server);
@@ -440,7 +446,7 @@
   m.add("Expires-Ms", std::to_string(std::max<std::int64_t>(1, left)));
   m.body = r.description;
   counters_.add("servers.invites");
-  out.send({net::Concern::server, leg.conn}, m.text());
+  out.send_counted({net::Concern::server, leg.conn}, m.text());
 }
 
 void SetupServers::apply(Time now, const core::AbandonAttempt& e, Outbox& out) {
--- a/src/back/setup_servers.h
+++ b/src/back/setup_servers.h
@@ -39,6 +39,8 @@
 
   // Every server in service has been reached or tried.
   bool ready() const;
+  // How many servers the list holds, those that drain among them.
+  std::size_t listed() const;
   const std::string& name_of(ServerId server) const;
 
  private:
--- a/src/back/sip_trunk.cpp
+++ b/src/back/sip_trunk.cpp
@@ -75,6 +75,11 @@
   }
 }
 
+std::size_t SipTrunk::listed() const {
+  return static_cast<std::size_t>(std::count_if(
+      hosts_.begin(), hosts_.end(), [](const auto& h) { return h.second.state != ServerState::terminated; }));
+}
+
 bool SipTrunk::ready() const {
   return std::any_of(hosts_.begin(), hosts_.end(),
                      [](const auto& h) { return h.second.state == ServerState::in_service; });
--- a/src/back/sip_trunk.h
+++ b/src/back/sip_trunk.h
@@ -41,6 +41,7 @@
   void apply(Time now, const core::AbandonAttempt& e, Outbox& out);
   void apply(Time now, const core::ReleaseServer& e, Outbox& out);
 
+  std::size_t listed() const;
   bool ready() const;
   const std::string& name_of(ServerId server) const;
 
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -103,6 +103,7 @@
     c.name = whole.value("name", std::string("graniterun"));
     c.listen = text(whole, "listen");
     c.journal = whole.value("journal", std::string());
+    c.management = whole.value("management", std::string());
     const json& seed = need(whole, "seed");
     const auto seed_number =
         seed.is_string() ? jsonl::number_of_hex(seed.get_ref<const std::string&>())
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -42,7 +42,9 @@
   std::string path{};  // of the file that it came from
   std::string name{};
   std::string listen{};
-  std::string journal{};  // empty: none
+  std::string journal{};           // empty: none
+  std::string management{};        // where operators call; empty: nowhere
+  std::optional<int> inherited{};  // descriptor of the callers' listening socket, where the platform holds it
   std::uint64_t seed{};
   std::size_t sockets{1024};
   std::uint64_t known_position{};
--- a/src/controller.cpp
+++ b/src/controller.cpp
@@ -449,6 +449,12 @@
     actions_ = nullptr;
   }
 
+  std::size_t avoided(Time now) const {
+    return static_cast<std::size_t>(std::count_if(servers_.begin(), servers_.end(), [&](const auto& s) {
+      return !s.second.in_service() || s.second.processor.wait(now, tolerated()) >= kWaitBudget + kWaitScale;
+    }));
+  }
+
  private:
   // -- the list of core servers
   void on(const ServerList& list) {
@@ -876,6 +882,8 @@
 Controller::Controller(Controller&&) noexcept = default;
 Controller& Controller::operator=(Controller&&) noexcept = default;
 
+std::size_t Controller::avoided(Time now) const { return impl_->avoided(now); }
+
 void Controller::handle(Time now, const Event& event, std::vector<Action>& actions) {
   impl_->handle(now, event, actions);
 }
--- a/src/core/broker.cpp
+++ b/src/core/broker.cpp
@@ -23,13 +23,19 @@
 
 Broker::Broker(const Settings& settings, std::uint64_t seed, Contracts contracts, Counters& counters,
                Gate gate)
+    : Broker(settings, std::make_shared<Controller>(settings, seed), std::move(contracts), counters,
+             std::move(gate)) {}
+
+Broker::Broker(const Settings& settings, std::shared_ptr<Controller> controller, Contracts contracts,
+               Counters& counters, Gate gate)
     : Broker(
           settings,
-          [controller = std::make_shared<Controller>(settings, seed)](
-              Time now, const graniterun::Event& event, std::vector<Action>& actions) {
+          [controller](Time now, const graniterun::Event& event, std::vector<Action>& actions) {
             controller->handle(now, event, actions);
           },
-          std::move(contracts), counters, std::move(gate)) {}
+          std::move(contracts), counters, std::move(gate)) {
+  controller_ = std::move(controller);
+}
 
 Broker::Broker(const Settings& settings, Decide decide, Contracts contracts, Counters& counters, Gate gate)
     : settings_(settings),
@@ -383,6 +389,7 @@
   call.turned_down = !served;
   --unanswered_;
   const CallId id = call.request->call;
+  tallies_.answered(call.request->class_name, served, refused);
   if (served) {
     counters_.add("broker.served");
     emit(Serve{id, description});
--- a/src/core/broker.h
+++ b/src/core/broker.h
@@ -16,6 +16,7 @@
 
 #include "core/contracts.h"
 #include "core/counters.h"
+#include "core/tallies.h"
 #include "graniterun/controller.h"
 #include "limits/gap_register.h"
 
@@ -179,12 +180,18 @@
 
   Broker(const Settings& settings, std::uint64_t seed, Contracts contracts, Counters& counters,
          Gate gate = {});
+  Broker(const Settings& settings, std::shared_ptr<Controller> controller, Contracts contracts,
+         Counters& counters, Gate gate);
   Broker(const Settings& settings, Decide decide, Contracts contracts, Counters& counters, Gate gate = {});
 
   void step(Time now, const Event& event, Effects& effects);
 
   std::size_t unanswered() const { return unanswered_; }
   std::size_t standing() const { return standing_; }
+  Tallies& tallies() { return tallies_; }
+  const Tallies& tallies() const { return tallies_; }
+  // Setup servers that the module avoids now; 0 where something else decides.
+  std::size_t avoided(Time now) const { return controller_ ? controller_->avoided(now) : 0; }
 
  private:
   struct Attempt {
@@ -259,6 +266,7 @@
   Settings settings_;
   Contracts contracts_;
   Counters& counters_;
+  std::shared_ptr<Controller> controller_{};
   Decide decide_;
   Gate gate_;
   Time now_{};
@@ -270,6 +278,7 @@
   std::uint64_t last_alarm_ = 0;
   std::deque<graniterun::Event> for_module_;
   bool in_module_ = false;
+  Tallies tallies_;
   std::size_t unanswered_ = 0;
   std::size_t standing_ = 0;
 };
--- a/src/front/keeper.h
+++ b/src/front/keeper.h
@@ -17,7 +17,7 @@
   // `idle`: a connection on which nothing is open is closed after so long without a word; none: it is kept.
   Keeper(std::size_t most, std::optional<Duration> idle) : most_(most), idle_(idle) {}
 
-  void accepted(Time now, net::ConnId conn) { open_[conn] = {now, now}; }
+  void accepted(Time now, net::ConnId conn) { open_[conn] = {now, false, now}; }
   void closed(net::ConnId conn) { open_.erase(conn); }
   // Something came in; `whole`: a message among it; `half`: one that has begun and is not whole is left.
   void heard(Time now, net::ConnId conn, bool whole, bool half) {
@@ -27,8 +27,14 @@
       it->second.waits_since.reset();
       it->second.active = now;
     }
+    it->second.half = half;
     if (half && !it->second.waits_since) it->second.waits_since = now;
   }
+  // A message has begun on it and is not whole.
+  bool is_half(net::ConnId conn) const {
+    const auto it = open_.find(conn);
+    return it != open_.end() && it->second.waits_since && it->second.half;
+  }
   // Where there are too many, the one to close. `busy` tells whether something is open on a connection.
   template <class Busy>
   std::optional<net::ConnId> too_many(Busy busy) const {
@@ -57,6 +63,7 @@
   static constexpr Duration kWholeWithin = std::chrono::milliseconds(2200);
   struct Open {
     std::optional<Time> waits_since;  // for the message to be whole
+    bool half = false;                // of one, some has come
     Time active{};                    // when the last whole message came
   };
   std::size_t most_;
--- a/src/front/platform.cpp
+++ b/src/front/platform.cpp
@@ -64,8 +64,24 @@
   }
 }
 
+void Platform::hand_on(Time now, Outbox& out) {
+  handed_on_ = true;
+  out.arm(net::Concern::platform, 0, now + kLook);
+  close_quiet(out);
+}
+
+// Those on which no set-up is open, no line has begun and no release is still to be heard. The runtime tells
+// what has come meanwhile instead of closing.
+void Platform::close_quiet(Outbox& out) {
+  for (const auto& [conn, c] : connections_) {
+    if (c.waiting.empty() && c.told.empty() && !keeper_.is_half(conn))
+      out.net.push_back(net::CloseQuiet{conn});
+  }
+}
+
 void Platform::on(Time now, const net::TimerFired&, Outbox& out) {
   out.arm(net::Concern::platform, 0, now + kLook);
+  if (handed_on_) close_quiet(out);
   for (const net::ConnId conn : keeper_.due(now, [this](net::ConnId c) { return is_busy(c); })) {
     counters_.add("platform.closed_idle");
     close(now, conn, out);
--- a/src/front/platform.h
+++ b/src/front/platform.h
@@ -33,6 +33,9 @@
   void on(Time now, const net::Closed& e, Outbox& out);
   void on(Time now, const net::TimerFired& e, Outbox& out);
   void ready(bool ready) { ready_ = ready; }
+  // Another process takes the callers from now on: each connection is closed once nothing is open on it.
+  void hand_on(Time now, Outbox& out);
+  std::size_t connected() const { return connections_.size(); }
 
   void apply(const core::Serve& e, Outbox& out);
   void apply(const core::TurnDown& e, Outbox& out);
@@ -64,6 +67,7 @@
   void refuse_malformed(Time now, net::ConnId conn, const std::string& id, const std::string& trouble,
                         Outbox& out);
   void close(Time now, net::ConnId conn, Outbox& out);
+  void close_quiet(Outbox& out);
   bool is_busy(net::ConnId conn) const;
   void tell(Time now, net::ConnId preferred, const std::string& id, std::string line, Outbox& out);
   void end_by_caller(CallId call, int cause, Outbox& out);
@@ -79,6 +83,7 @@
   std::deque<std::pair<std::string, std::string>> homeless_;  // releases that no connection could take
   std::uint64_t last_ = 0;
   bool ready_ = false;
+  bool handed_on_ = false;
 };
 
 }  // namespace graniterun::front
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -1,5 +1,6 @@
 // graniterun: one gatekeeper on real sockets.
 #include <algorithm>
+#include <charconv>
 #include <csignal>
 #include <cstdlib>
 #include <exception>
@@ -9,6 +10,7 @@
 #include <string>
 
 #include "app/gatekeeper.h"
+#include "management/management.h"
 #include "net/runtime.h"
 
 namespace {
@@ -34,6 +36,17 @@
   throw BadConfig("GRANITERUN_LOG is not one of debug, info, warning, error");
 }
 
+// The platform may hold the callers' listening socket and hand it to each process that it starts.
+std::optional<int> inherited_socket() {
+  const std::string text = variable("RELAY_INHERITED_FD");
+  if (text.empty()) return std::nullopt;
+  int fd = -1;
+  const auto [stop, error] = std::from_chars(text.data(), text.data() + text.size(), fd);
+  if (error != std::errc{} || stop != text.data() + text.size() || !net::is_listening_tcp(fd))
+    throw BadConfig("RELAY_INHERITED_FD is '" + text + "', which is no listening TCP socket");
+  return fd;
+}
+
 limits::Fleet fleet_of(const PlatformConfig& config) {
   const std::uint32_t size = std::max<std::uint32_t>(1, config.settings.senders);
   return {size, std::min(config.index, size - 1)};
@@ -52,13 +65,16 @@
   config.path = config_path;
   if (const std::string listen = variable("RELAY_LISTEN"); !listen.empty()) config.listen = listen;
   if (const std::string name = variable("RELAY_NAME"); !name.empty()) config.name = name;
+  if (const std::string second = variable("RELAY_MANAGEMENT"); !second.empty()) config.management = second;
+  config.inherited = inherited_socket();
   const DeployConfig deploy =
       deploy_path.empty() ? DeployConfig{}
                           : read_deploy_config(read_file(deploy_path), config.class_names, fleet_of(config));
 
   net::RuntimeLimits limits;
   // Some descriptors are the program's own.
-  limits.connections = config.sockets > 64 ? config.sockets - 32 : config.sockets / 2;
+  constexpr std::size_t kOwn = 32 + management::kMostConnections;
+  limits.connections = config.sockets > 2 * kOwn ? config.sockets - kOwn : config.sockets / 2;
   net::Runtime runtime(limits, net::Logger(level_from(variable("GRANITERUN_LOG"))));
   Gatekeeper gatekeeper(config, deploy, [&runtime](Counters& all) {
     const net::RuntimeCounters& c = runtime.counters();
@@ -67,6 +83,7 @@
     all.add("net.accepted", c.accepted);
     all.add("net.turned_away", c.turned_away);
     all.add("net.overflowed", c.overflowed);
+    all.add("net.counted_written", c.counted_written);
     all.add("net.timers", c.timers);
     all.add("net.timers_over_5ms_late", c.timers_late_5ms);
     all.add("net.timers_over_20ms_late", c.timers_late_20ms);
--- /dev/null
+++ b/src/management/management.cpp
@@ -0,0 +1,82 @@
+#include "management/management.h"
+
+#include <algorithm>
+
+namespace graniterun::management {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr Duration kLook = 100ms;
+// Who has said nothing whole for so long is told so and closed.
+constexpr Duration kLineWithin = 2s;
+// Of those that wait for a line no more are kept: the rest of the bound is for answers on their way out.
+constexpr std::size_t kMostWaiting = kMostConnections / 2;
+
+bool is_plain(std::string_view text) {
+  return std::all_of(text.begin(), text.end(), [](char c) { return c >= ' ' && c <= '~'; });
+}
+
+}  // namespace
+
+void Management::start(Time now, Outbox& out) const {
+  if (listen_.empty()) return;
+  // The calls of the service go before those of its operators: it runs on without them.
+  out.net.push_back(net::Listen{net::Concern::management, listen_, {}, kMostConnections, false});
+  out.arm(net::Concern::management, 0, now + kLook);
+}
+
+void Management::on(Time now, const net::Accepted& e, Outbox& out) {
+  counters_.add("management.connections");
+  waiting_.push_back({e.conn, now});
+  if (waiting_.size() <= kMostWaiting) return;
+  counters_.add("management.dropped_for_room");
+  out.net.push_back(net::Drop{waiting_.front().conn});
+  waiting_.pop_front();
+}
+
+void Management::on(Time now, const net::Received& e, Outbox& out) {
+  const auto it =
+      std::find_if(waiting_.begin(), waiting_.end(), [&](const Waiting& w) { return w.conn == e.conn; });
+  if (it == waiting_.end()) return;
+  const std::size_t end = e.bytes.substr(0, kLineBound).find('\n');
+  if (end == std::string_view::npos) {
+    if (e.bytes.size() >= kLineBound) reply(e.conn, "ERR the line has no end within 256 bytes\n", out);
+    return;
+  }
+  out.net.push_back(net::Consume{e.conn, e.bytes.size()});
+  std::string_view line = e.bytes.substr(0, end);
+  if (line.ends_with('\r')) line.remove_suffix(1);
+  counters_.add("management.calls");
+  if (!is_plain(line)) return reply(e.conn, "ERR the line is not plain text\n", out);
+  const auto call = calls_.find(line);
+  if (call == calls_.end()) {
+    std::string known;
+    for (const auto& [name, answer] : calls_) known += (known.empty() ? "" : ", ") + name;
+    return reply(e.conn, "ERR unknown call; there are: " + known + "\n", out);
+  }
+  reply(e.conn, call->second(now), out);
+}
+
+void Management::on(Time, const net::Closed& e, Outbox&) { forget(e.conn); }
+
+void Management::on(Time now, const net::TimerFired&, Outbox& out) {
+  out.arm(net::Concern::management, 0, now + kLook);
+  while (!waiting_.empty() && now - waiting_.front().since > kLineWithin) {
+    counters_.add("management.closed_silent");
+    reply(waiting_.front().conn, "ERR no whole line came within 2 s\n", out);
+  }
+}
+
+void Management::reply(net::ConnId conn, std::string text, Outbox& out) {
+  if (text.starts_with("ERR")) counters_.add("management.errors");
+  forget(conn);
+  out.send(conn, std::move(text));
+  out.close(conn);
+}
+
+void Management::forget(net::ConnId conn) {
+  std::erase_if(waiting_, [conn](const Waiting& w) { return w.conn == conn; });
+}
+
+}  // namespace graniterun::management
--- a/src/net/events.h
+++ b/src/net/events.h
@@ -22,8 +22,9 @@
   sip,
   trunk,
   collector,
-  control,    // callers of the control listener
-  announced,  // gatekeepers that an announcer, or a command line, speaks to
+  control,     // callers of the control listener
+  announced,   // gatekeepers that an announcer, or a command line, speaks to
+  management,  // operators' one-line calls
   process
 };
 constexpr std::size_t kConcerns = static_cast<std::size_t>(Concern::process) + 1;
@@ -100,6 +101,13 @@
 struct Listen {  // TCP
   Concern concern{};
   std::string address;
+  std::optional<int> inherited{};  // a listening socket that this process was started with, instead of an own
+  std::size_t apart = 0;  // so many connections of it stand beside the common limit; 0: all within the limit
+  bool needed = true;     // else the program goes on without it
+};
+// Takes no more connections. What others do with the same socket goes on.
+struct StopListening {
+  Concern concern{};
 };
 struct Bind {  // UDP
   Concern concern{};
@@ -113,6 +121,7 @@
 struct Send {
   ConnId conn;
   std::string bytes;
+  bool counted = false;  // in the runtime's counters, once it is written whole
 };
 struct SendDatagram {
   Concern concern{};
@@ -126,6 +135,12 @@
 struct Close {  // once what was sent is written
   ConnId conn;
 };
+struct Drop {  // at once, whatever is not written
+  ConnId conn;
+};
+struct CloseQuiet {  // unless something has come that was not read yet: that is told first
+  ConnId conn;
+};
 struct ArmTimer {
   TimerKey key;
   Time at{};
@@ -149,8 +164,8 @@
   int status{};
 };
 
-using Effect = std::variant<Listen, Bind, Connect, Send, SendDatagram, Consume, Close, ArmTimer, ReadFile,
-                            WriteFile, Log, Print, Exit>;
+using Effect = std::variant<Listen, StopListening, Bind, Connect, Send, SendDatagram, Consume, Close, Drop,
+                            CloseQuiet, ArmTimer, ReadFile, WriteFile, Log, Print, Exit>;
 using Effects = std::vector<Effect>;
 
 }  // namespace graniterun::net
--- a/src/net/outbox.h
+++ b/src/net/outbox.h
@@ -15,6 +15,10 @@
   std::vector<core::Event> core;
 
   void send(net::ConnId conn, std::string bytes) { net.push_back(net::Send{conn, std::move(bytes)}); }
+  // Counted by the runtime once it is written whole.
+  void send_counted(net::ConnId conn, std::string bytes) {
+    net.push_back(net::Send{conn, std::move(bytes), true});
+  }
   void close(net::ConnId conn) { net.push_back(net::Close{conn}); }
   void arm(net::Concern concern, std::uint64_t number, Time at) {
     net.push_back(net::ArmTimer{{concern, number}, at});
--- a/src/net/runtime.cpp
+++ b/src/net/runtime.cpp
@@ -4,7 +4,9 @@
 #include <glib-unix.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 
+#include <deque>
 #include <map>
 #include <queue>
 #include <string>
@@ -93,6 +95,17 @@
   return Time(duration_cast<Duration>(steady_clock::now().time_since_epoch()) + offset);
 }
 
+bool is_listening_tcp(int descriptor) {
+  const auto option = [descriptor](int level, int name) {
+    int value = -1;
+    socklen_t size = sizeof value;
+    return getsockopt(descriptor, level, name, &value, &size) == 0 ? value : -1;
+  };
+  const int domain = option(SOL_SOCKET, SO_DOMAIN);
+  return option(SOL_SOCKET, SO_TYPE) == SOCK_STREAM && option(SOL_SOCKET, SO_ACCEPTCONN) == 1 &&
+         (domain == AF_INET || domain == AF_INET6);
+}
+
 class Runtime::Impl {
  public:
   Impl(RuntimeLimits limits, Logger logger) : limits_(limits), logger_(logger) {}
@@ -124,6 +137,7 @@
   RuntimeCounters counters;
 
  private:
+  struct Listener;
   struct Connection {
     Connection(Impl& owner, ConnId conn, Owned<GSocket> own, const RuntimeLimits& limits)
         : impl(owner), id(conn), socket(std::move(own)), in(limits.inbound), out(limits.outbound) {}
@@ -140,13 +154,21 @@
     bool closing = false;
     bool shut = false;  // all is written and said to be: what still comes is read and dropped
     std::size_t dropped = 0;
-    ~Connection() { impl.outbound_ -= out.size(); }
+    std::uint64_t sent = 0;                    // bytes handed to `out` since the start
+    std::deque<std::uint64_t> counted_ends{};  // of the messages in `out` that are to be counted, in `sent`
+    Listener* apart = nullptr;                 // it stands beside the common limit
+    ~Connection() {
+      impl.outbound_ -= out.size();
+      if (apart != nullptr) --apart->open;
+    }
   };
   struct Listener {
     Impl& impl;
     Concern concern;
     Owned<GSocket> socket;
     Source source;
+    std::size_t most_apart = 0;
+    std::size_t open = 0;  // of those that stand apart
   };
   struct Timer {
     Time at;
@@ -209,11 +231,39 @@
     for (const ConnId id : std::exchange(broken_, {})) lose(id, true);
   }
 
-  void carry_out(const Listen& e) { listen(e.concern, e.address, G_SOCKET_TYPE_STREAM); }
-  void carry_out(const Bind& e) { listen(e.concern, e.address, G_SOCKET_TYPE_DATAGRAM); }
+  void carry_out(const Listen& e) {
+    if (e.inherited) return listen_on_inherited(e);
+    listen(e.concern, e.address, G_SOCKET_TYPE_STREAM, e);
+  }
+  void carry_out(const Bind& e) { listen(e.concern, e.address, G_SOCKET_TYPE_DATAGRAM, {}); }
+  void carry_out(const StopListening& e) {
+    for (auto& listener : listeners_) {
+      if (listener->concern == e.concern) listener->source.end();
+    }
+  }
 
-  void listen(Concern concern, const std::string& text, GSocketType type) {
+  void listen_on_inherited(const Listen& e) {
+    GError* error = nullptr;
+    Owned<GSocket> socket(g_socket_new_from_fd(*e.inherited, &error));
+    if (socket == nullptr) {
+      logger_.line(Level::error, "cannot use the inherited socket: " + text_of(error));
+      return carry_out(Exit{1});
+    }
+    g_socket_set_blocking(socket.get(), FALSE);
+    watch_listener(e, std::move(socket), G_SOCKET_TYPE_STREAM);
+  }
+
+  void watch_listener(const Listen& e, Owned<GSocket> socket, GSocketType type) {
+    auto listener = std::make_unique<Listener>(Listener{*this, e.concern, std::move(socket), {}, e.apart});
+    GSource* source = watch(listener->socket.get(), G_IO_IN);
+    listener->source.start(source, type == G_SOCKET_TYPE_STREAM ? &Impl::on_acceptable : &Impl::on_datagram,
+                           listener.get());
+    listeners_.push_back(std::move(listener));
+  }
+
+  void listen(Concern concern, const std::string& text, GSocketType type, Listen wanted) {
     const bool stream = type == G_SOCKET_TYPE_STREAM;
+    wanted.concern = concern;
     GError* error = nullptr;
     const auto address = address_of(text);
     Owned<GSocket> socket(address == nullptr ? nullptr
@@ -224,32 +274,42 @@
       g_socket_set_listen_backlog(socket.get(), 512);
       if (g_socket_bind(socket.get(), address.get(), TRUE, &error) &&
           (!stream || g_socket_listen(socket.get(), &error))) {
-        auto listener = std::make_unique<Listener>(Listener{*this, concern, std::move(socket), {}});
-        GSource* source = watch(listener->socket.get(), G_IO_IN);
-        listener->source.start(source, stream ? &Impl::on_acceptable : &Impl::on_datagram, listener.get());
-        listeners_.push_back(std::move(listener));
-        return;
+        return watch_listener(wanted, std::move(socket), type);
       }
     }
     logger_.line(Level::error, "cannot listen on " + text + ": " +
                                    (address == nullptr ? "not an address" : text_of(error)));
-    carry_out(Exit{1});
+    if (wanted.needed) carry_out(Exit{1});
   }
 
   void accept(Listener& listener) {
     for (std::size_t i = 0; i < limits_.accepted_from_each; ++i) {
       Owned<GSocket> socket(g_socket_accept(listener.socket.get(), nullptr, nullptr));
       if (socket == nullptr) return;
-      if (connections_.size() >= limits_.connections) {
+      const bool full = listener.most_apart > 0 ? listener.open >= listener.most_apart
+                                                : connections_.size() - apart() >= limits_.connections;
+      if (full) {
         ++counters.turned_away;
         continue;
       }
       ++counters.accepted;
       const ConnId id{listener.concern, ++last_accepted_};
       adopt(id, std::move(socket));
+      if (listener.most_apart > 0) {
+        ++listener.open;
+        connections_.at(id)->apart = &listener;
+      }
       step(Accepted{id});
+      // What came with it is read before the next one is taken: where only a few may wait, the newest push
+      // out the oldest, and one that has asked is not to be among those.
+      if (listener.most_apart > 0) read(id);
     }
   }
+  std::size_t apart() const {
+    std::size_t all = 0;
+    for (const auto& listener : listeners_) all += listener->open;
+    return all;
+  }
 
   void adopt(ConnId id, Owned<GSocket> socket) {
     g_socket_set_blocking(socket.get(), FALSE);
@@ -303,6 +363,8 @@
     const auto it = connections_.find(e.conn);
     if (it == connections_.end() || it->second->closing) return;
     if (!it->second->out.put(e.bytes)) return overflowed(e.conn);
+    it->second->sent += e.bytes.size();
+    if (e.counted) it->second->counted_ends.push_back(it->second->sent);
     outbound_ += e.bytes.size();
     if (outbound_ > limits_.outbound_all) {
       const auto fullest = std::max_element(
@@ -349,6 +411,18 @@
     dirty_.push_back(e.conn);
   }
 
+  void carry_out(const Drop& e) {
+    if (const auto it = connections_.find(e.conn); it != connections_.end()) connections_.erase(it);
+  }
+  void carry_out(const CloseQuiet& e) {
+    const auto it = connections_.find(e.conn);
+    if (it == connections_.end() || it->second->closing) return;
+    int unread = 0;
+    if (ioctl(g_socket_get_fd(it->second->socket.get()), FIONREAD, &unread) == 0 && unread > 0) return;
+    later(Closed{e.conn, false});
+    carry_out(Close{e.conn});
+  }
+
   void carry_out(const ArmTimer& e) { arm(Timer{e.at, ++timer_order_, e.key}); }
   void carry_out(const WriteFile& e) {
     GError* error = nullptr;
@@ -470,6 +544,10 @@
         counters.bytes_out += static_cast<std::uint64_t>(sent);
         c.out.drop(static_cast<std::size_t>(sent));
         outbound_ -= static_cast<std::size_t>(sent);
+        while (!c.counted_ends.empty() && c.counted_ends.front() <= c.sent - c.out.size()) {
+          ++counters.counted_written;
+          c.counted_ends.pop_front();
+        }
         continue;
       }
       const bool wait = g_error_matches(error, G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK);
--- a/src/net/runtime.h
+++ b/src/net/runtime.h
@@ -24,7 +24,8 @@
   std::uint64_t bytes_out = 0;
   std::uint64_t accepted = 0;
   std::uint64_t turned_away = 0;
-  std::uint64_t overflowed = 0;  // closed for not reading what was sent
+  std::uint64_t overflowed = 0;       // closed for not reading what was sent
+  std::uint64_t counted_written = 0;  // messages that were to be counted and are written whole
   std::uint64_t timers = 0;
   std::uint64_t timers_late_5ms = 0;
   std::uint64_t timers_late_20ms = 0;
@@ -36,6 +37,9 @@
 // The Unix clock's time at the start, carried on by the steady clock, so that it never runs backwards.
 Time clock_now();
 
+// Whether the descriptor is a TCP socket that listens.
+bool is_listening_tcp(int descriptor);
+
 class Runtime {
  public:
   Runtime(RuntimeLimits limits, Logger logger);
--- a/tests/lab.h
+++ b/tests/lab.h
@@ -73,11 +73,19 @@
       if (const auto* e = std::get_if<net::Send>(&effect)) sent[e->conn] += e->bytes;
       if (const auto* e = std::get_if<net::SendDatagram>(&effect)) datagrams.push_back(*e);
       if (const auto* e = std::get_if<net::Close>(&effect)) closed.push_back(e->conn);
+      if (const auto* e = std::get_if<net::Drop>(&effect)) closed.push_back(e->conn);
+      if (const auto* e = std::get_if<net::CloseQuiet>(&effect)) quiet.push_back(e->conn);
+      if (const auto* e = std::get_if<net::Listen>(&effect)) listens.push_back(*e);
+      if (const auto* e = std::get_if<net::StopListening>(&effect)) stopped_listening.push_back(e->concern);
       if (const auto* e = std::get_if<net::Exit>(&effect)) exit_status = e->status;
       if (const auto* e = std::get_if<net::ArmTimer>(&effect)) timers.push({e->at, ++order, e->key});
       if (const auto* e = std::get_if<net::Consume>(&effect)) unread[e->conn].erase(0, e->count);
     }
     if (watch) watch();
+    for (const ConnId conn : std::exchange(quiet, {})) {  // as the runtime does it
+      closed.push_back(conn);
+      tell(net::Closed{conn, false});
+    }
   }
   void receive(ConnId conn, const std::string& bytes) {
     unread[conn] += bytes;
@@ -136,6 +144,9 @@
   std::map<ConnId, std::string> unread;
   std::vector<net::SendDatagram> datagrams;
   std::vector<ConnId> closed;
+  std::vector<ConnId> quiet;  // to be closed if nothing unread has come
+  std::vector<net::Listen> listens;
+  std::vector<Concern> stopped_listening;
   std::optional<int> exit_status;
   std::function<void()> watch;  // called after each event
 
--- a/tests/stand_in.h
+++ b/tests/stand_in.h
@@ -61,6 +61,7 @@
       ::poll(nullptr, 0, 5);
     }
   }
+  int descriptor() const { return fd_; }
   int port() const {
     sockaddr_in address{};
     socklen_t size = sizeof address;
