Take new settings at SIGHUP whole or not at all; open calls keep their class

Change: check_settings and check_keys before anything changes; core::placed gives classes places that open calls keep; the module hears SettingsChanged and calls keep their number of attempts; contracts name their class.

--- a/include/graniterun/controller.h
+++ b/include/graniterun/controller.h
@@ -49,6 +49,7 @@
   DeduplicationScope deduplication_scope{};
   Duration deduplication_window{};
   std::optional<std::vector<Pool>> open_pools{};  // absent: every pool
+  bool operator==(const CallClass&) const = default;
 };
 
 enum class Layout { meshed, groups };  // only `groups` is decided; meshed calls are refused
@@ -167,13 +168,19 @@
   LoadReport report{};
 };
 
+// The settings have changed. A class keeps its place while calls of it are open; calls keep the number of
+// attempts that they came with, and what was learned of the core servers holds on.
+struct SettingsChanged {
+  Settings settings{};
+};
+
 struct PeerNote {
   std::uint32_t from{};
   std::vector<std::uint8_t> bytes{};
 };
 
-using Event =
-    std::variant<ServerList, NewCall, CallStands, AttemptEnded, CallerLeft, TimerDue, ServerReport, PeerNote>;
+using Event = std::variant<ServerList, NewCall, CallStands, AttemptEnded, CallerLeft, TimerDue, ServerReport,
+                           PeerNote, SettingsChanged>;
 
 // ---- Actions
 
--- a/src/app/gatekeeper.cpp
+++ b/src/app/gatekeeper.cpp
@@ -29,33 +29,34 @@
   return config.sockets > 128 ? config.sockets - 96 : config.sockets / 3 + 1;
 }
 
-front::PlatformFrontSettings platform_settings(const PlatformConfig& config) {
+front::PlatformFrontSettings platform_settings(const PlatformConfig& config,
+                                               const core::ClassTable& classes) {
   front::PlatformFrontSettings s;
-  s.class_names = config.class_names;
-  for (const CallClass& c : config.settings.classes) s.open_pools.push_back(c.open_pools);
-  s.open_pools.resize(s.class_names.size());
+  s.classes = std::make_shared<const core::Classes>(classes.classes);
   s.most_connections = most_callers(config);
   return s;
 }
 
-front::SipFrontSettings sip_settings(const PlatformConfig& config, const DeployConfig& deploy) {
+front::SipFrontSettings sip_settings(const PlatformConfig& config, const DeployConfig& deploy,
+                                     const core::ClassTable& classes) {
   front::SipFrontSettings s;
   s.udp = deploy.sip_udp;
   s.tcp = deploy.sip_tcp;
-  s.class_names = config.class_names;
+  s.classes = std::make_shared<const core::Classes>(classes.classes);
   s.seed = config.seed;
   s.most_connections = most_callers(config) / 2;
   s.load_control_from = deploy.load_control_from;
-  const auto& classes = config.settings.classes;
-  for (const CallClass& c : classes) s.patience.push_back(c.patience);
-  const auto by_worth = [](const CallClass& a, const CallClass& b) { return a.worth < b.worth; };
-  s.emergency_class =
-      static_cast<std::size_t>(std::max_element(classes.begin(), classes.end(), by_worth) - classes.begin());
-  s.default_class =
-      static_cast<std::size_t>(std::min_element(classes.begin(), classes.end(), by_worth) - classes.begin());
   return s;
 }
 
+// At the start, with nothing open, every class has its place in the order of the settings.
+core::ClassTable first_classes(const PlatformConfig& config) {
+  auto table = core::placed({}, config.class_names, config.settings.classes, {});
+  if (!table)
+    throw BadConfig("the settings name more than " + std::to_string(core::ClassTable::kMost) + " classes");
+  return *table;
+}
+
 control::ControlSettings control_settings(const PlatformConfig& config, const DeployConfig& deploy) {
   control::ControlSettings s = deploy.control.value_or(control::ControlSettings{});
   s.name = config.name;
@@ -73,12 +74,13 @@
 Gatekeeper::Gatekeeper(const PlatformConfig& config, const DeployConfig& deploy,
                        std::function<void(Counters&)> more_counters)
     : config_(config),
+      classes_(first_classes(config)),
       deploy_(deploy),
       more_counters_(std::move(more_counters)),
       control_(control_settings(config, deploy), counters_),
       broker_(config.settings, config.seed, core::Contracts(deploy.contracts), counters_, gate()),
-      platform_(platform_settings(config), counters_),
-      sip_(sip_settings(config, deploy), counters_),
+      platform_(platform_settings(config, classes_), counters_),
+      sip_(sip_settings(config, deploy, classes_), counters_),
       servers_(config.settings, config.areas, counters_),
       journal_(config.journal, config.known_position, counters_),
       exporter_(exporter_settings(config, deploy), counters_),
@@ -287,21 +289,49 @@
   out.net.push_back(net::ReadFile{config_.path});
 }
 
-// The journal service's address is what may change while the program runs; calls and connections go on as
-// they are, and a file that is no use changes nothing.
+// The settings and the journal service's address may change while the program runs; calls and connections go
+// on as they are, and a file that is no use changes nothing.
 void Gatekeeper::on(Time now, const net::FileRead& e, Outbox& out) {
   try {
     if (!e.text) throw BadConfig("cannot read " + e.path);
-    const PlatformConfig fresh = read_platform_config(*e.text);
-    counters_.add("config.reloads");
-    out.log(net::Level::info, "the configuration was read again");
-    journal_.move(now, fresh.journal, out);
+    retune(now, read_platform_config(*e.text), out);
   } catch (const BadConfig& trouble) {
     counters_.add("config.reloads_bad");
     out.log(net::Level::error, std::string("the old configuration is kept: ") + trouble.what());
   }
 }
 
+// Throws BadConfig before anything has changed.
+void Gatekeeper::retune(Time now, const PlatformConfig& fresh, Outbox& out) {
+  check_keys(config_, fresh);
+  auto table = core::placed(classes_, fresh.class_names, fresh.settings.classes, broker_.places_in_use());
+  if (!table)
+    throw BadConfig("open calls hold too many classes of before: send SIGHUP again when they are over");
+  counters_.add("config.reloads");
+  out.log(net::Level::info, "the configuration was read again");
+  for (const auto& [what, before, after] :
+       {std::tuple("listen", config_.file_listen, fresh.file_listen),
+        std::tuple("management", config_.file_management, fresh.file_management)}) {
+    if (before != after)
+      out.log(net::Level::warning,
+              std::string("'") + what + "' is now '" + after + "': used from the next start on");
+  }
+  classes_ = std::move(*table);
+  config_.class_names = fresh.class_names;
+  config_.keys = fresh.keys;
+  config_.settings = fresh.settings;
+  config_.settings.classes = classes_.places;
+  config_.file_listen = fresh.file_listen;
+  config_.file_management = fresh.file_management;
+  const auto named = std::make_shared<const core::Classes>(classes_.classes);
+  platform_.retune(named);
+  sip_.retune(named);
+  servers_.retune(config_.settings);
+  broker_.tallies().name(config_.class_names);
+  out.tell(core::Retuned{config_.settings});
+  journal_.move(now, fresh.journal, out);
+}
+
 void Gatekeeper::finish_if_drained(Time now, Outbox& out) {
   if (!stop_asked_ || now - *stop_asked_ < kStillComing) return;
   const Duration asked_for = now - *stop_asked_;
--- a/src/app/gatekeeper.h
+++ b/src/app/gatekeeper.h
@@ -45,6 +45,7 @@
   std::string readiness(Time now) const;
   std::string telemetry(Time now) const;
   core::Broker::Gate gate();
+  void retune(Time now, const PlatformConfig& fresh, Outbox& out);
   void take_list(Time now, const HostList& list, ListKind kind, Outbox& out);
   const std::string& name_of(ServerId server) const;
   void settle(Time now, Outbox& out);
@@ -54,6 +55,7 @@
   std::string counters_text() const;
 
   PlatformConfig config_;
+  core::ClassTable classes_;  // those of the settings in force, and of open calls
   DeployConfig deploy_;
   std::function<void(Counters&)> more_counters_;
   Counters counters_;
--- a/src/back/setup_servers.h
+++ b/src/back/setup_servers.h
@@ -39,6 +39,7 @@
 
   // Every server in service has been reached or tried.
   bool ready() const;
+  void retune(const Settings& settings) { connect_within_ = settings.connect_within; }
   // How many servers the list holds, those that drain among them.
   std::size_t listed() const;
   const std::string& name_of(ServerId server) const;
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -1,8 +1,11 @@
 #include "config/config.h"
 
 #include <algorithm>
+#include <charconv>
 #include <cmath>
 #include <nlohmann/json.hpp>
+#include <set>
+#include <utility>
 
 #include "proto/jsonl.h"
 #include "wire.h"
@@ -30,13 +33,91 @@
 }
 
 json parse(std::string_view source, std::string_view what) {
-  json parsed = json::parse(source, nullptr, false);
-  if (parsed.is_discarded() || !parsed.is_object())
-    throw BadConfig(std::string(what) + " is not a JSON object");
-  return parsed;
+  if (source.find_first_not_of(" \t\r\n") == std::string_view::npos)
+    throw BadConfig(std::string(what) + " is empty");
+  try {
+    json parsed = json::parse(source);
+    if (!parsed.is_object()) throw BadConfig(std::string(what) + " is not a JSON object");
+    return parsed;
+  } catch (const json::parse_error& trouble) {
+    const std::string_view before = source.substr(0, std::min(trouble.byte, source.size()));
+    const auto line = 1 + std::count(before.begin(), before.end(), '\n');
+    throw BadConfig(std::string(what) + " is no JSON from line " + std::to_string(line) + ", byte " +
+                    std::to_string(trouble.byte) + " on: cut short or misspelt there");
+  }
+}
+
+// Paths of all keys. Those of the objects in a list stand once, where all of them have the key.
+void key_paths(const json& value, const std::string& path, std::set<std::string>& out) {
+  if (value.is_object()) {
+    for (const auto& [name, part] : value.items()) {
+      const std::string inner = path.empty() ? name : path + "." + name;
+      out.insert(inner);
+      key_paths(part, inner, out);
+    }
+    return;
+  }
+  if (!value.is_array() || value.empty() || !value.front().is_object()) return;
+  std::set<std::string> common;
+  bool first = true;
+  for (const json& part : value) {
+    std::set<std::string> own;
+    key_paths(part, path + "[]", own);
+    if (std::exchange(first, false)) {
+      common = std::move(own);
+    } else {
+      std::erase_if(common, [&own](const std::string& key) { return !own.contains(key); });
+    }
+  }
+  out.merge(common);
+}
+
+constexpr double kLongestDeadlineNs = 86'400e9;  // a day
+constexpr double kMostAttempts = 1000;
+
+// A number above 0 and not beyond `most`, in the file's own type: text or null is none.
+void need_above_0(const json& object, std::string_view name, const std::string& path, double most) {
+  const json& value = need(object, name);
+  const double figure = value.is_number() ? value.get<double>() : 0.0;
+  if (!(figure > 0.0 && figure <= most))
+    throw BadConfig("'" + path + std::string(name) + "' is " + value.dump() + ", not a number above 0" +
+                    (figure > most ? " and at most " + std::to_string(static_cast<std::int64_t>(most)) : ""));
+}
+
+// What the parser of the simulator's form can't tell: types of the file, and lists that belong together.
+void check_settings(const json& settings) {
+  need_above_0(need(settings, "limits"), "maxAttempts", "settings.limits.", kMostAttempts);
+  const json& classes = need(settings, "classes");
+  if (!classes.is_array() || classes.empty()) throw BadConfig("'settings.classes' names no class");
+  std::set<std::string> names;
+  for (const json& one : classes) {
+    const std::string name = text(one, "name");
+    if (name.empty() || name.size() > 64) throw BadConfig("a class's name is empty or over 64 bytes");
+    if (!names.insert(name).second) throw BadConfig("the class '" + name + "' is there twice");
+    need_above_0(one, "hardLimitNs", "class " + name + ": ", kLongestDeadlineNs);
+    need_above_0(one, "promiseNs", "class " + name + ": ", kLongestDeadlineNs);
+  }
+  const json& family = need(settings, "familyInfo");
+  if (family.contains("poolsByClass") && family["poolsByClass"].size() != classes.size())
+    throw BadConfig("'settings.familyInfo.poolsByClass' does not name pools for each class");
+}
+
+bool is_address(const std::string& text) {
+  const auto colon = text.rfind(':');
+  int port = 0;
+  const char* end = text.data() + text.size();
+  if (colon == std::string::npos || colon == 0) return false;
+  const auto [stop, error] = std::from_chars(text.data() + colon + 1, end, port);
+  return error == std::errc{} && stop == end && port > 0 && port < 65536;
 }
 
 std::string plain(const json& value) {
+  // 3e9 is the whole number that it looks like.
+  if (value.is_number_float()) {
+    const double figure = value.get<double>();
+    if (std::floor(figure) == figure && std::abs(figure) < 9e15)
+      return std::to_string(static_cast<std::int64_t>(figure));
+  }
   if (!value.is_string()) return value.is_boolean() ? (value.get<bool>() ? "true" : "false") : value.dump();
   std::string out = value;
   std::replace_if(
@@ -103,7 +184,11 @@
     c.name = whole.value("name", std::string("graniterun"));
     c.listen = text(whole, "listen");
     c.journal = whole.value("journal", std::string());
+    if (!c.journal.empty() && !is_address(c.journal))
+      throw BadConfig("'journal' is '" + c.journal + "', not an address and a port");
     c.management = whole.value("management", std::string());
+    c.file_listen = c.listen;
+    c.file_management = c.management;
     const json& seed = need(whole, "seed");
     const auto seed_number =
         seed.is_string() ? jsonl::number_of_hex(seed.get_ref<const std::string&>())
@@ -114,12 +199,19 @@
 
     const json& settings = need(whole, "settings");
     if (!settings.is_object()) throw BadConfig("'settings' is not an object");
+    check_settings(settings);
     std::string flat = "SETTINGS";
     flatten(settings, {}, flat);
     c.settings = wire::parse_settings(wire::Message(flat, 1));
     if (settings.contains("me")) c.index = settings["me"].get<std::uint32_t>();
     if (settings.contains("areas")) c.areas = settings["areas"].get<std::vector<std::string>>();
     for (const json& one : need(settings, "classes")) c.class_names.push_back(text(one, "name"));
+    std::set<std::string> keys;
+    for (const auto& [name, part] : whole.items()) {
+      keys.insert(name);
+      if (name != "known") key_paths(part, name, keys);
+    }
+    c.keys.assign(keys.begin(), keys.end());
 
     if (whole.contains("known")) {
       const json& known = whole["known"];
@@ -136,6 +228,13 @@
   }
 }
 
+void check_keys(const PlatformConfig& before, const PlatformConfig& fresh) {
+  for (const std::string& key : before.keys) {
+    if (!std::binary_search(fresh.keys.begin(), fresh.keys.end(), key))
+      throw BadConfig("the configuration has no '" + key + "', which the one in force has");
+  }
+}
+
 namespace {
 
 // A whole number of milliseconds, or of what is named; absent: what it was.
@@ -205,9 +304,9 @@
       contract.team = one.value("team", std::string());
       if (one.contains("class")) {
         const std::string name = text(one, "class");
-        const auto it = std::find(class_names.begin(), class_names.end(), name);
-        if (it == class_names.end()) throw BadConfig("a contract names the unknown class '" + name + "'");
-        contract.call_class = static_cast<ClassIndex>(it - class_names.begin());
+        if (std::find(class_names.begin(), class_names.end(), name) == class_names.end())
+          throw BadConfig("a contract names the unknown class '" + name + "'");
+        contract.call_class = name;
       }
       if (one.contains("deadline_ms"))
         contract.deadline = std::chrono::milliseconds(one["deadline_ms"].get<std::int64_t>());
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -42,6 +42,8 @@
   std::string path{};  // of the file that it came from
   std::string name{};
   std::string listen{};
+  std::string file_listen{};  // as the file has them: the environment goes before it
+  std::string file_management{};
   std::string journal{};           // empty: none
   std::string management{};        // where operators call; empty: nowhere
   std::optional<int> inherited{};  // descriptor of the callers' listening socket, where the platform holds it
@@ -51,10 +53,14 @@
   std::vector<HostList> known{};
   std::vector<std::string> areas{};
   std::vector<std::string> class_names{};
-  std::uint32_t index{};  // of this gatekeeper among settings.senders
+  std::vector<std::string> keys{};  // paths of all that the file sets but what `known` holds, sorted
+  std::uint32_t index{};            // of this gatekeeper among settings.senders
   Settings settings{};
 };
 PlatformConfig read_platform_config(std::string_view text);  // throws BadConfig
+// Throws BadConfig where `fresh` lacks a key that `before` has: a file that was cut or misspelt, not one that
+// means the default.
+void check_keys(const PlatformConfig& before, const PlatformConfig& fresh);
 
 struct DeployConfig {
   std::optional<std::string> sip_udp{};  // where SIP is listened for
--- a/src/controller.cpp
+++ b/src/controller.cpp
@@ -419,6 +419,7 @@
   NewCall request;
   Time first_try{};  // of its caller, as far as this sender can tell
   int attempts = 0;
+  int most_attempts = 0;  // as the settings had it when it came
   std::optional<Attempt> out;
   bool answered = false;           // nothing is owed any more
   bool offered = false;            // has been to the pick before
@@ -438,7 +439,7 @@
 class Controller::Impl {
  public:
   Impl(Settings settings, std::uint64_t seed) : settings_(std::move(settings)), random_(seed) {
-    for (const CallClass& c : settings_.classes) mean_hold_s_ = std::max(mean_hold_s_, seconds(c.mean_hold));
+    note_holds();
   }
 
   void handle(Time now, const Event& event, std::vector<Action>& actions) {
@@ -503,10 +504,25 @@
 
   void on(const PeerNote&) {}
 
+  void on(const SettingsChanged& e) {
+    std::erase_if(patience_, [&](const auto& p) {  // a place may hold another class now
+      return p.first >= e.settings.classes.size() || p.first >= settings_.classes.size() ||
+             !(e.settings.classes[p.first] == settings_.classes[p.first]);
+    });
+    settings_ = e.settings;
+    note_holds();
+  }
+
+  void note_holds() {
+    mean_hold_s_ = 1e-3;
+    for (const CallClass& c : settings_.classes) mean_hold_s_ = std::max(mean_hold_s_, seconds(c.mean_hold));
+  }
+
   // -- the life of a call
   void on(const NewCall& e) {
     Call& call = calls_[e.call];
     call.request = e;
+    call.most_attempts = settings_.max_attempts;
     call.first_try = now_;
     if (e.in_transit || settings_.layout == Layout::meshed || e.call_class >= settings_.classes.size()) {
       conclude(call, Refuse{e.call, {}});
@@ -640,7 +656,7 @@
   void give_up_lost(const Call& call) {
     const Server* server = find(call.out->server);
     if (call.out->stands || server == nullptr) return;
-    if (class_of(call).repeatability != Repeatability::idempotent || call.attempts >= settings_.max_attempts)
+    if (class_of(call).repeatability != Repeatability::idempotent || call.attempts >= call.most_attempts)
       return;
     const bool in_time = now_ < call.first_try + class_of(call).aim - settings_.release_guard;
     if (server->processor.lost(call.request.call) ||
@@ -651,7 +667,7 @@
 
   void decide_after(Call& call, const AttemptEnded& e) {
     const CallId id = call.request.call;
-    const bool spent = call.attempts >= settings_.max_attempts;
+    const bool spent = call.attempts >= call.most_attempts;
     const bool once_only = call.may_have_run && class_of(call).repeatability != Repeatability::idempotent;
     if (spent || once_only || e.outcome == Outcome::busy_or_fault) return conclude(call, Fail{id});
     if (proves_not_run(e.outcome)) return place(call);
@@ -808,7 +824,7 @@
     act(SendSetUp{call.request.call, server.entry.server, call.request.deadline});
     // In time for another attempt within the aim, should this one stay unanswered.
     const Time call_off = call.first_try + class_of(call).aim - settings_.release_guard - kHoldReserve;
-    if (tolerated() > 0 && settings_.may_cancel && call_off > now_ && call.attempts < settings_.max_attempts)
+    if (tolerated() > 0 && settings_.may_cancel && call_off > now_ && call.attempts < call.most_attempts)
       wake(call.request.call, std::max(call_off - now_, kLostAfter));
   }
 
--- a/src/core/broker.cpp
+++ b/src/core/broker.cpp
@@ -76,7 +76,7 @@
       return turn_down(true, Why::gapped, verdict.wait, std::move(verdict.treatment));
     }
   }
-  const Contracts::Terms terms = contracts_.admit(now_, e.request.team, e.request.call_class);
+  const Contracts::Terms terms = contracts_.admit(now_, e.request.team, e.request.class_name);
   if (terms.deadline) call.deadline = std::min(call.deadline, now_ + *terms.deadline);
   if (terms.attempts) call.most_attempts = std::min(call.most_attempts, *terms.attempts);
   if (terms.over_budget) {
@@ -212,6 +212,19 @@
 
 void Broker::on(const ReportHeard& e) { tell_module(ServerReport{e.server, e.report}); }
 
+void Broker::on(const Retuned& e) {
+  settings_ = e.settings;
+  tell_module(SettingsChanged{e.settings});
+}
+
+std::vector<bool> Broker::places_in_use() const {
+  std::vector<bool> in_use(settings_.classes.size());
+  for (const auto& [id, call] : calls_) {
+    if (call.request->call_class < in_use.size()) in_use[call.request->call_class] = true;
+  }
+  return in_use;
+}
+
 // ---- time
 
 void Broker::on(const TimerRang& e) {
--- a/src/core/broker.h
+++ b/src/core/broker.h
@@ -102,9 +102,12 @@
 struct TimerRang {
   std::uint64_t timer{};
 };
+struct Retuned {  // the settings have changed; requests under way keep their terms
+  Settings settings{};
+};
 
 using Event = std::variant<RequestCame, CallerGaveUp, CallerReleased, AttemptStood, AttemptOver,
-                           ServerReleased, ServersChanged, ReportHeard, TimerRang>;
+                           ServerReleased, ServersChanged, ReportHeard, TimerRang, Retuned>;
 
 // ---- Effects
 
@@ -188,6 +191,8 @@
 
   std::size_t unanswered() const { return unanswered_; }
   std::size_t standing() const { return standing_; }
+  // The places of the classes that open calls came with.
+  std::vector<bool> places_in_use() const;
   Tallies& tallies() { return tallies_; }
   const Tallies& tallies() const { return tallies_; }
   // Setup servers that the module avoids now; 0 where something else decides.
@@ -236,6 +241,7 @@
   void on(const ServersChanged& e);
   void on(const ReportHeard& e);
   void on(const TimerRang& e);
+  void on(const Retuned& e);
 
   void act(const SendSetUp& a);
   void act(const CancelAttempt& a);
--- /dev/null
+++ b/src/core/classes.cpp
@@ -0,0 +1,56 @@
+#include "core/classes.h"
+
+#include <algorithm>
+
+namespace graniterun::core {
+namespace {
+
+bool worth_less(const NamedClass& a, const NamedClass& b) { return a.terms.worth < b.terms.worth; }
+
+}  // namespace
+
+const NamedClass* Classes::find(std::string_view name) const {
+  const auto it =
+      std::find_if(named.begin(), named.end(), [&](const NamedClass& c) { return c.name == name; });
+  return it == named.end() ? nullptr : &*it;
+}
+const NamedClass& Classes::worth_most() const {
+  return *std::max_element(named.begin(), named.end(), worth_less);
+}
+const NamedClass& Classes::worth_least() const {
+  return *std::min_element(named.begin(), named.end(), worth_less);
+}
+
+std::optional<ClassTable> placed(const ClassTable& before, const std::vector<std::string>& names,
+                                 const std::vector<CallClass>& terms, const std::vector<bool>& in_use) {
+  ClassTable after;
+  after.places = before.places;
+  std::vector<bool> taken(before.places.size());
+  for (std::size_t i = 0; i < taken.size(); ++i) taken[i] = i < in_use.size() && in_use[i];
+  std::vector<std::optional<ClassIndex>> places(names.size());
+  for (std::size_t i = 0; i < names.size(); ++i) {
+    const NamedClass* old = before.classes.find(names[i]);
+    if (old == nullptr || !(old->terms == terms[i])) continue;
+    places[i] = old->place;
+    taken[old->place] = true;
+  }
+  for (std::size_t i = 0; i < names.size(); ++i) {
+    if (!places[i]) {
+      const auto free = std::find(taken.begin(), taken.end(), false);
+      places[i] = static_cast<ClassIndex>(free - taken.begin());
+      if (free == taken.end()) taken.push_back(true);
+      taken[*places[i]] = true;
+    }
+    if (*places[i] >= after.places.size()) after.places.resize(*places[i] + 1);
+    after.places[*places[i]] = terms[i];
+    after.classes.named.push_back({names[i], *places[i], terms[i]});
+  }
+  // What is free holds nothing that the decisions could reckon with.
+  for (std::size_t i = 0; i < taken.size(); ++i) {
+    if (!taken[i]) after.places[i] = CallClass{};
+  }
+  if (after.places.size() > ClassTable::kMost) return std::nullopt;
+  return after;
+}
+
+}  // namespace graniterun::core
--- a/src/core/contracts.cpp
+++ b/src/core/contracts.cpp
@@ -12,7 +12,7 @@
 }
 
 // The team's contract for the class, else its contract for every class, else that of those without one.
-Contracts::Account* Contracts::find(std::string_view team, ClassIndex call_class) {
+Contracts::Account* Contracts::find(std::string_view team, std::string_view call_class) {
   Account* best = nullptr;
   int best_rank = 0;
   for (Account& account : accounts_) {
@@ -27,7 +27,7 @@
   return best;
 }
 
-Contracts::Terms Contracts::admit(Time now, std::string_view team, ClassIndex call_class) {
+Contracts::Terms Contracts::admit(Time now, std::string_view team, std::string_view call_class) {
   Terms terms;
   Account* account = find(team, call_class);
   if (account == nullptr) return terms;
--- a/src/core/contracts.h
+++ b/src/core/contracts.h
@@ -12,12 +12,12 @@
 namespace graniterun::core {
 
 struct Contract {
-  std::string team{};                      // empty: whoever has no contract of its own
-  std::optional<ClassIndex> call_class{};  // absent: every class
-  std::optional<Duration> deadline{};      // the longest a request may wait, whatever it asks for
-  std::optional<int> attempts{};           // the most for a request
-  std::optional<double> per_second{};      // budget; absent: unlimited
-  double burst = 1.0;                      // requests that may come at once
+  std::string team{};                       // empty: whoever has no contract of its own
+  std::optional<std::string> call_class{};  // by name; absent: every class
+  std::optional<Duration> deadline{};       // the longest a request may wait, whatever it asks for
+  std::optional<int> attempts{};            // the most for a request
+  std::optional<double> per_second{};       // budget; absent: unlimited
+  double burst = 1.0;                       // requests that may come at once
 };
 
 class Contracts {
@@ -30,7 +30,7 @@
     std::optional<Duration> over_budget{};  // set: refuse at once; the budget has room again after this
   };
   // Takes one request out of the budget, where it has room.
-  Terms admit(Time now, std::string_view team, ClassIndex call_class);
+  Terms admit(Time now, std::string_view team, std::string_view call_class);
 
  private:
   struct Account {
@@ -38,7 +38,7 @@
     double tokens = 0.0;
     std::optional<Time> filled{};
   };
-  Account* find(std::string_view team, ClassIndex call_class);
+  Account* find(std::string_view team, std::string_view call_class);
   std::vector<Account> accounts_;
 };
 
--- a/src/front/platform.cpp
+++ b/src/front/platform.cpp
@@ -189,10 +189,10 @@
 }
 
 std::string Platform::read_request(Time now, const jsonl::Message& m, core::Request& r) const {
-  const auto name = std::find(settings_.class_names.begin(), settings_.class_names.end(), m.field("class"));
-  if (name == settings_.class_names.end()) return "the class is not one of the settings";
-  r.call_class = static_cast<ClassIndex>(name - settings_.class_names.begin());
-  r.class_name = *name;
+  const core::NamedClass* call_class = settings_.classes->find(m.field("class"));
+  if (call_class == nullptr) return "the class is not one of the settings";
+  r.call_class = call_class->place;
+  r.class_name = call_class->name;
   const auto left = number<double>(m.field("left"));
   if (!left || !(*left >= 0.0) || *left > 1e8) return "'left' is not a time in milliseconds";
   r.deadline = now + std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(*left));
@@ -217,7 +217,7 @@
     if (word == "dest") {
       if (!whole) return "'dest' is not a whole number";
       r.destination = Pool{static_cast<std::int64_t>(*value)};
-      const auto& open = settings_.open_pools[r.call_class];
+      const auto& open = call_class->terms.open_pools;
       if (*value < -1 || (*value >= 0 && open && std::ranges::find(*open, r.destination) == open->end()))
         return "'dest' is no pool of the class";
     }
--- a/src/front/platform.h
+++ b/src/front/platform.h
@@ -9,6 +9,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "core/classes.h"
 #include "core/counters.h"
 #include "front/keeper.h"
 #include "net/outbox.h"
@@ -17,8 +18,7 @@
 namespace graniterun::front {
 
 struct PlatformFrontSettings {
-  std::vector<std::string> class_names{};
-  std::vector<std::optional<std::vector<Pool>>> open_pools{};  // of each class; absent: every pool
+  std::shared_ptr<const core::Classes> classes{};
   std::size_t most_connections{};
 };
 
@@ -33,6 +33,8 @@
   void on(Time now, const net::Closed& e, Outbox& out);
   void on(Time now, const net::TimerFired& e, Outbox& out);
   void ready(bool ready) { ready_ = ready; }
+  // New requests are of these classes from now on.
+  void retune(std::shared_ptr<const core::Classes> classes) { settings_.classes = std::move(classes); }
   // Another process takes the callers from now on: each connection is closed once nothing is open on it.
   void hand_on(Time now, Outbox& out);
   std::size_t connected() const { return connections_.size(); }
--- a/src/front/sip.cpp
+++ b/src/front/sip.cpp
@@ -300,15 +300,16 @@
   r.number_text = sip::user_of(m.uri);
   if (r.number_text.empty()) return "the URI names no number";
   r.number = Number{jsonl::number_of_hex(r.number_text).value_or(hash(r.number_text))};
-  r.call_class = settings_.default_class;
-  if (sip::same_word(m.header("Priority"), "emergency")) r.call_class = settings_.emergency_class;
+  const core::Classes& classes = *settings_.classes;
+  const bool emergency = sip::same_word(m.header("Priority"), "emergency");
+  const core::NamedClass* call_class = emergency ? &classes.worth_most() : &classes.worth_least();
   if (const std::string_view name = m.header("Priority-Class"); !name.empty()) {
-    const auto it = std::find(settings_.class_names.begin(), settings_.class_names.end(), name);
-    if (it == settings_.class_names.end()) return "Priority-Class names no class";
-    r.call_class = static_cast<ClassIndex>(it - settings_.class_names.begin());
+    call_class = classes.find(name);
+    if (call_class == nullptr) return "Priority-Class names no class";
   }
-  r.class_name = settings_.class_names[r.call_class];
-  r.deadline = now + settings_.patience[r.call_class];
+  r.call_class = call_class->place;
+  r.class_name = call_class->name;
+  r.deadline = now + call_class->terms.patience;
   const std::string_view ms = m.header("Expires-Ms");
   if (const std::string_view expires = ms.empty() ? m.header("Expires") : ms; !expires.empty()) {
     const auto value = whole_number(expires);
--- a/src/front/sip.h
+++ b/src/front/sip.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "config/config.h"
+#include "core/classes.h"
 #include "core/counters.h"
 #include "core/words.h"
 #include "front/keeper.h"
@@ -22,10 +23,9 @@
 struct SipFrontSettings {
   std::optional<std::string> udp{};  // where it listens; none: it is off
   std::optional<std::string> tcp{};
-  std::vector<std::string> class_names{};
-  std::vector<Duration> patience{};  // of each class: how long a caller waits who says nothing of it
-  std::size_t emergency_class{};     // for callers with Priority: emergency
-  std::size_t default_class{};
+  // A caller's patience who says nothing of it is its class's. Callers with Priority: emergency are of the
+  // class worth most, those that name none of the one worth least.
+  std::shared_ptr<const core::Classes> classes{};
   std::uint64_t seed{};
   std::size_t most_connections{64};
   std::vector<std::string> load_control_from{};  // neighbours whose load control is asked for
@@ -44,6 +44,7 @@
   void on(Time now, const net::Datagram& e, Outbox& out);
   void on(Time now, const net::TimerFired& e, Outbox& out);
   void ready(bool ready) { ready_ = ready; }
+  void retune(std::shared_ptr<const core::Classes> classes) { settings_.classes = std::move(classes); }
   // Where gaps can be announced: neighbours are told of them, and may ask for some.
   void share_gaps(GapSource source) { load_control_.source(std::move(source)); }
 
--- a/tests/management_test.cpp
+++ b/tests/management_test.cpp
@@ -104,7 +104,7 @@
   for (int i = 0; i < 200; ++i) all.push_back(desk.open());
   CHECK(desk.closed.size() >= 200 - management::kMostConnections);
   CHECK(desk.closed.front() == all.front());  // the oldest goes first
-  CHECK(desk.ask("readyz\n").size() > 3);      // and who asks is answered all the same
+  CHECK(desk.ask("readyz\n").size() > 3);     // and who asks is answered all the same
 }
 
 // The figures are those of the requests' own ends, whichever they are.
