--- a/src/back/setup_servers.cpp
+++ b/src/back/setup_servers.cpp
@@ -598,6 +598,8 @@
   if (leg.state == LegState::sent || leg.state == LegState::abandoned) {
     ended.outcome = leg.state == LegState::abandoned ? Outcome::cancelled : outcome_of(m.status);
     ended.reason = reason_of(m.header("Warning-Word"));
+    // What is busy is the number, wherever it is tried; any other error may be the server's own.
+    if (m.status == 486 && ended.reason == FullReason::none) ended.reason = FullReason::number_busy;
     over(leg, ended, out);
   }
   if (leg.state != LegState::stands) erase(it);
--- a/src/controller.cpp
+++ b/src/controller.cpp
@@ -65,6 +65,13 @@
 constexpr Duration kHoldReserve = 400ms;
 // A held call is answered so long before its deadline.
 constexpr Duration kAnswerMargin = 20ms;
+// A server's faults are smoothed over so many set-ups; from this share on it is passed over, but for one
+// set-up in so long that tries it out.
+constexpr double kFaultEvents = 6.0;
+constexpr double kFaulty = 0.4;
+constexpr Duration kFaultTry = 500ms;
+// So often a call is tried again after a fault.
+constexpr int kFaultRepeats = 2;
 // Part of the cold budget that is spent right after a start: repeats count too, and the parts of two windows
 // may meet. It grows to the whole when the server must be warm, which is safe even if it warms only then.
 constexpr double kColdSafety = 0.5;
@@ -370,6 +377,28 @@
   std::deque<std::pair<Number, Time>> order_;
 };
 
+// ---- Faults
+
+// The share of a core server's set-ups that ended with a fault of its own. A faulty one answers at once and
+// so looks idle: it would draw more calls than the others.
+class Faults {
+ public:
+  void ended(bool fault) {
+    share_ += ((fault ? 1.0 : 0.0) - share_) / kFaultEvents;
+    if (!fault && share_ >= kFaulty) share_ /= 2.0;
+  }
+  bool faulty() const { return share_ >= kFaulty; }
+  void tried(Time now) { tried_at_ = now; }
+  // By a call that may be repeated elsewhere; by others more seldom.
+  bool to_be_tried(Time now, bool repeatable) const {
+    return now - tried_at_ >= kFaultTry * (repeatable ? 1 : 4);
+  }
+
+ private:
+  double share_ = 0.0;
+  Time tried_at_{};
+};
+
 // ---- Tables
 
 struct Server {
@@ -384,6 +413,7 @@
   ProcessorEstimate processor;
   Throttle throttle;
   ColdGuard cold_guard;
+  Faults faults;
 
   bool in_service() const { return entry.state == ServerState::in_service; }
   bool cold(Time now, const Settings& settings) const {
@@ -423,11 +453,17 @@
   std::optional<Attempt> out;
   bool answered = false;           // nothing is owed any more
   bool offered = false;            // has been to the pick before
+  int faults = 0;                  // attempts that ended with a fault of their server
+  bool last_faulted = false;       // the last one did
   bool may_have_run = false;       // an attempt ended without proof that it never ran
   std::optional<ServerId> last;    // where the last attempt went
   std::optional<Time> held_until;  // waits, with no attempt out
 };
 
+bool is_fault(const AttemptEnded& e) {
+  return e.outcome == Outcome::busy_or_fault && e.reason != FullReason::number_busy;
+}
+
 bool proves_not_run(Outcome outcome) {
   return outcome == Outcome::full || outcome == Outcome::no_connection || outcome == Outcome::not_sent;
 }
@@ -452,7 +488,8 @@
 
   std::size_t avoided(Time now) const {
     return static_cast<std::size_t>(std::count_if(servers_.begin(), servers_.end(), [&](const auto& s) {
-      return !s.second.in_service() || s.second.processor.wait(now, tolerated()) >= kWaitBudget + kWaitScale;
+      return !s.second.in_service() || s.second.faults.faulty() ||
+             s.second.processor.wait(now, tolerated()) >= kWaitBudget + kWaitScale;
     }));
   }
 
@@ -552,6 +589,7 @@
     if (Server* server = find(e.server)) {
       server->processor.settled(e.call);
       note_answer(*server, e.delay);
+      server->faults.ended(false);
       server->throttle.taken(now_);
       places_[server->entry.pool].taken(now_);
     }
@@ -605,6 +643,7 @@
     switch (e.outcome) {
       case Outcome::ok:
       case Outcome::busy_or_fault:
+        server->faults.ended(is_fault(e));
         note_answer(*server, e.delay);
         server->throttle.taken(now_);
         break;
@@ -669,8 +708,14 @@
     const CallId id = call.request.call;
     const bool spent = call.attempts >= call.most_attempts;
     const bool once_only = call.may_have_run && class_of(call).repeatability != Repeatability::idempotent;
-    if (spent || once_only || e.outcome == Outcome::busy_or_fault) return conclude(call, Fail{id});
-    if (proves_not_run(e.outcome)) return place(call);
+    // A busy number is busy everywhere; a fault is one server's, and passes. What fails a third time is the
+    // call's own.
+    call.last_faulted = is_fault(e);
+    const bool again =
+        call.last_faulted && call.faults++ < kFaultRepeats && now_ < call.first_try + class_of(call).aim;
+    const bool final_answer = e.outcome == Outcome::busy_or_fault && !again;
+    if (spent || once_only || final_answer) return conclude(call, Fail{id});
+    if (again || proves_not_run(e.outcome)) return place(call);
     if (e.outcome == Outcome::cancelled) call.last.reset();  // one was lost there, others get through
     hold(call, now_ + settings_.release_guard);
   }
@@ -713,7 +758,10 @@
         !std::exchange(call.offered, true);  // offers of held calls are no further demand for lines
     std::vector<Server*> open;
     std::vector<Server*> pressed;
+    std::vector<Server*> faulty;
     Server* destination = nullptr;
+    const bool choosy = others_open(call);
+    const bool repeatable = class_of(call).repeatability == Repeatability::idempotent;
     for (auto& [id, server] : servers_) {
       if (!eligible(call, server)) continue;
       const bool named = server.entry.pool == call.request.destination;
@@ -724,15 +772,25 @@
         if (fresh) server.sought.add(now_);
       }
       if (!free_for(call, server)) continue;
-      if (named) {
+      const bool trial = named && server.faults.to_be_tried(now_, repeatable);
+      if (call.last == id || (choosy && server.faults.faulty() && !trial)) {
+        faulty.push_back(&server);
+      } else if (named) {
         destination = &server;
       } else {
         (has_room(server) ? open : pressed).push_back(&server);
       }
     }
     if (destination != nullptr && passes(call, *destination)) return destination;
-    if (open.empty() && destination != nullptr) return nullptr;
-    Server* drawn = draw(open.empty() ? pressed : open);
+    Server* drawn = nullptr;
+    if (!open.empty() || destination == nullptr)
+      drawn = draw_offered(call, open.empty() ? pressed : open, fresh);
+    // One that answers some set-ups is better than none; it is the last to be asked.
+    return drawn != nullptr ? drawn : draw_offered(call, faulty, fresh);
+  }
+
+  Server* draw_offered(const Call& call, const std::vector<Server*>& from, bool fresh) {
+    Server* drawn = draw(from);
     if (drawn == nullptr) return nullptr;
     drawn->throttle.offer(now_, value_of(call));
     if (fresh) drawn->sought.add(now_);
@@ -806,11 +864,21 @@
     return left >= call.request.lines || random_.uniform() * std::max(expected, 1e-9) < left;
   }
 
+  bool open_to(const Call& call, const Server& server) const {
+    if (!server.in_service() || (call.last == server.entry.server && !call.last_faulted)) return false;
+    const auto& pools = class_of(call).open_pools;
+    return !pools || std::find(pools->begin(), pools->end(), server.entry.pool) != pools->end();
+  }
+
+  bool others_open(const Call& call) const {
+    return std::any_of(servers_.begin(), servers_.end(), [&](const auto& s) {
+      return call.last != s.first && open_to(call, s.second) && !s.second.faults.faulty();
+    });
+  }
+
   // In service, open to the class, not just tried, and not spared for being cold.
   bool eligible(const Call& call, Server& server) {
-    if (!server.in_service() || call.last == server.entry.server) return false;
-    const auto& pools = class_of(call).open_pools;
-    if (pools && std::find(pools->begin(), pools->end(), server.entry.pool) == pools->end()) return false;
+    if (!open_to(call, server)) return false;
     return !server.cold(now_, settings_) ||
            server.cold_guard.admits(now_, *server.entry.online_since, settings_, cold_capacity(server));
   }
@@ -820,6 +888,7 @@
     call.last = server.entry.server;
     server.processor.sent(now_, call.request.call);
     server.cold_guard.sent();
+    if (server.faults.faulty()) server.faults.tried(now_);
     ++server.sent_since_told;
     act(SendSetUp{call.request.call, server.entry.server, call.request.deadline});
     // In time for another attempt within the aim, should this one stay unanswered.
--- a/tests/controller_test.cpp
+++ b/tests/controller_test.cpp
@@ -653,5 +653,125 @@
   EXPECT_GE(fullest_window(5, 0, 200, 50ms), 60U);
 }
 
+// ---- faults
+
+constexpr auto kFault = Outcome::busy_or_fault;
+
+TEST(Fault, SendsTheCallElsewhereAndTakesAThirdForTheCallsOwn) {
+  Script script(settings_with());
+  script.list(0s, {entry(0), entry(1)});
+  script.call(0s, 1, 0);
+  const auto second = first<SendSetUp>(script.ends(30ms, 1, 0, kFault));
+  ASSERT_TRUE(second);
+  EXPECT_EQ(second->server, ServerId{1});
+  ASSERT_TRUE(has<SendSetUp>(script.ends(60ms, 1, 1, kFault, 1)));
+  EXPECT_TRUE(has<Fail>(script.ends(90ms, 1, 0, kFault, 2)));
+}
+
+TEST(Fault, IsFinalForACallThatMayRunOnceOnly) {
+  Settings settings = settings_with();
+  settings.classes[0].repeatability = Repeatability::at_most_once;
+  Script script(settings);
+  script.list(0s, {entry(0), entry(1)});
+  script.call(0s, 1, 0);
+  EXPECT_TRUE(has<Fail>(script.ends(30ms, 1, 0, kFault)));
+}
+
+TEST(Fault, IsFinalOnceTheAimHasPassed) {
+  Script script(settings_with());
+  script.list(0s, {entry(0), entry(1)});
+  script.call(0s, 1, 0);
+  EXPECT_TRUE(has<Fail>(script.ends(1400ms, 1, 0, kFault)));
+}
+
+// A call to `0` that ends with a fault there and then stands at 1.
+void meet_fault(Script& script, Duration now, unsigned id) {
+  ASSERT_EQ(first<SendSetUp>(script.call(now, id, 0, 0, id))->server, ServerId{0});
+  script.ends(now + 1ms, id, 0, kFault);
+  script.stands(now + 2ms, id, 1, 1ms, 1);
+}
+
+TEST(Fault, ServerIsPassedOverTriedOutAndTakenBack) {
+  Script script(settings_with());
+  script.list(0s, {entry(0), entry(1)});
+  for (unsigned i = 0; i < 4; ++i) meet_fault(script, i * 10ms, i);  // the last is the first try-out
+  EXPECT_EQ(script.avoided(40ms), 1U);
+  for (unsigned i = 10; i < 40; ++i) {
+    // Some are tried out there, no more than one in 500 ms.
+    const auto sent = first<SendSetUp>(script.call(40ms + i * 1ms, i, 0, 0, i));
+    if (sent->server == ServerId{0}) {
+      EXPECT_EQ(i, 10U);
+      script.ends(41ms + i * 1ms, i, 0, kFault);
+    }
+    script.stands(42ms + i * 1ms, i, 1, 1ms, sent->server == ServerId{0} ? 1 : 0);
+  }
+  // The fault has passed: two try-outs that stand bring it back.
+  for (unsigned i = 50; i < 52; ++i) {
+    const Duration now = (i - 49) * 600ms;
+    ASSERT_EQ(first<SendSetUp>(script.call(now, i, 0, 0, i))->server, ServerId{0});
+    script.stands(now + 2ms, i, 0, 2ms);
+  }
+  EXPECT_EQ(script.avoided(1300ms), 0U);
+  for (unsigned i = 60; i < 65; ++i)
+    EXPECT_EQ(first<SendSetUp>(script.call(1300ms + i * 1ms, i, 0, 0, i))->server, ServerId{0});
+}
+
+TEST(Fault, ServerIsTheLastToBeAskedNotNever) {  // refused beside 230 free lines, calls once came to nothing
+  Script script(settings_with());
+  script.list(0s, {entry(0), entry(1)});
+  for (unsigned i = 0; i < 4; ++i) meet_fault(script, i * 10ms, i);
+  LoadReport full;
+  full.free_lines = 0.0;
+  full.lines = 40.0;
+  script.tell(60ms, ServerReport{ServerId{1}, full});
+  int taken = 0;
+  for (unsigned i = 10; i < 20; ++i) {
+    const auto sent = first<SendSetUp>(script.call(60ms + i * 1ms, i, 0, 0, i));
+    taken += sent && sent->server == ServerId{0} ? 1 : 0;
+  }
+  EXPECT_GE(taken, 8);
+  // And a call that met a fault there tries it again, where no other has a line.
+  const auto again = first<SendSetUp>(script.ends(90ms, 19, 0, kFault));
+  ASSERT_TRUE(again);
+  EXPECT_EQ(again->server, ServerId{0});
+}
+
+TEST(Fault, OfABusyNumberIsNotTheServers) {
+  Script script(settings_with());
+  script.list(0s, {entry(0), entry(1)});
+  for (unsigned i = 0; i < 10; ++i) {
+    ASSERT_EQ(first<SendSetUp>(script.call(i * 10ms, i, 0))->server, ServerId{0});
+    script.ends(i * 10ms + 1ms, i, 0, kFault, 0, false, FullReason::number_busy);
+  }
+  EXPECT_EQ(script.avoided(200ms), 0U);
+}
+
+// ---- settings that change
+
+TEST(Retune, CallsKeepTheirAttemptsAndServersWhatWasLearned) {
+  Settings settings = settings_with(2);
+  Script script(settings);
+  script.list(0s, {entry(0), entry(1)});
+  script.call(0s, 1, 0);
+  settings.max_attempts = 1;
+  script.tell(10ms, SettingsChanged{settings});
+  EXPECT_TRUE(has<SendSetUp>(script.ends(20ms, 1, 0, Outcome::full, 0, false, FullReason::processor)));
+  // Server 0 told that it is full: that is remembered, and a new call has one attempt.
+  EXPECT_EQ(script.avoided(30ms), 1U);
+  ASSERT_TRUE(has<SendSetUp>(script.call(30ms, 2, 1, 1)));
+  EXPECT_TRUE(has<Fail>(script.ends(40ms, 2, 1, Outcome::full, 0, false, FullReason::no_line)));
+}
+
+TEST(Retune, ANewClassIsTakenAtItsPlace) {
+  Settings settings = settings_with(1);
+  Script script(settings);
+  script.list(0s, {entry(0), entry(1)});
+  EXPECT_TRUE(has<Refuse>(script.call(0s, 1, 0, 1)));
+  settings.classes.push_back(settings.classes[0]);
+  settings.classes[1].open_pools = {Pool{1}};
+  script.tell(10ms, SettingsChanged{settings});
+  EXPECT_EQ(first<SendSetUp>(script.call(20ms, 2, 0, 1))->server, ServerId{1});
+}
+
 }  // namespace
 }  // namespace graniterun::test
--- a/tests/harness.h
+++ b/tests/harness.h
@@ -77,6 +77,8 @@
     return tell(when, e);
   }
 
+  std::size_t avoided(Duration when) const { return controller_.avoided(at(when)); }
+
   std::vector<Action> stands(Duration when, unsigned id, unsigned server, Duration delay, int attempt = 0) {
     return tell(when, CallStands{CallId{id}, attempt, ServerId{server}, delay});
   }
