Notice a silent connection by what it owes; charge a fault once its call has stood

Change: a connection is doubted after 1.5 times the slowest answer of late and closed when overtaken and owing two; Faults are charged when the call stands.

--- a/src/back/setup_servers.cpp
+++ b/src/back/setup_servers.cpp
@@ -20,6 +20,12 @@
 constexpr Duration kSuspicious = 1200ms;
 // It is tried sooner when a set-up has been unanswered for so long and nothing else has come either.
 constexpr Duration kSuspiciousUnanswered = 600ms;
+// Sooner where its answers are known: at a multiple of the slowest of late, but not before this.
+constexpr Duration kLeastSuspicious = 100ms;
+constexpr int kAnswersKnown = 8;  // so many answers tell how slow it is
+// An answer to a set-up sent so much later than one that another connection owes has overtaken it.
+constexpr Duration kOvertaken = 100ms;
+constexpr std::size_t kMostConnections = 3;  // to a server
 // After so long without a byte and without a connection its calls are taken to be over (8 s are allowed).
 constexpr Duration kVanished = 5s;
 // A process that died refuses at once; a short restart is let pass.
@@ -299,11 +305,10 @@
 void SetupServers::look_after(Time now, Server& server, Outbox& out) {
   if (server.host.state == ServerState::terminated) return;
   const bool has_calls = !server.legs.empty();
-  const bool waited_for =
-      !server.unanswered.empty() && now - server.unanswered.begin()->first > kSuspiciousUnanswered;
-  const bool silent = has_calls && now - server.heard > (waited_for ? kSuspiciousUnanswered : kSuspicious);
+  const bool silent = has_calls && (now - server.heard > kSuspicious || owes(now, server));
   const bool wanted = server.host.state == ServerState::in_service || has_calls;
-  if (wanted && !server.connecting && now >= server.next_connect && (!server.current || silent)) {
+  if (wanted && !server.connecting && now >= server.next_connect &&
+      (!server.current || (silent && connections_to(server.id) < kMostConnections))) {
     connect(now, server, out);
     // One that is alive and has nothing to say is not asked all the time.
     if (server.current) server.next_connect = now + kSuspicious;
@@ -323,6 +328,33 @@
   }
 }
 
+// A set-up on the server's current connection has been unanswered for longer than it takes there, and nothing
+// else has come on that connection either.
+bool SetupServers::owes(Time now, const Server& server) const {
+  if (!server.current || server.unanswered.empty()) return false;
+  const Duration within = server.answers < kAnswersKnown
+                              ? kSuspiciousUnanswered
+                              : std::clamp(server.slowest * 3 / 2, kLeastSuspicious, kSuspiciousUnanswered);
+  if (now - server.unanswered.begin()->first <= within) return false;
+  const Connection& c = connections_.at(*server.current);
+  const auto oldest = oldest_unanswered(c);
+  return oldest && now - *oldest > within && now - c.heard > within;
+}
+
+std::optional<Time> SetupServers::oldest_unanswered(const Connection& c) const {
+  std::optional<Time> oldest;
+  for (const LegKey& key : c.unanswered) {
+    const Leg& leg = legs_.at(key);
+    if (leg.state == LegState::sent && (!oldest || leg.since < *oldest)) oldest = leg.since;
+  }
+  return oldest;
+}
+
+std::size_t SetupServers::connections_to(ServerId server) const {
+  return static_cast<std::size_t>(std::count_if(connections_.begin(), connections_.end(),
+                                                [&](const auto& c) { return c.second.server == server; }));
+}
+
 void SetupServers::on(Time now, const net::TimerFired&, Outbox& out) {
   out.arm(net::Concern::server, 0, now + kTick);
   for (auto& [id, server] : servers_) look_after(now, server, out);
@@ -573,6 +605,7 @@
   send(leg, request("ACK", leg.request->number_text, leg.request->label, cseq_number), out);
   core::AttemptOver ended;
   ended.report = report;
+  if (leg.state == LegState::sent) note_answer(now, conn, leg.since, out);
   if (m.status < 300) {
     counters_.add("servers.answers");
     if (leg.state == LegState::sent) {
@@ -661,9 +694,31 @@
     if (number != conn && other.server == server->id && other.up && now - other.heard > silence)
       deaf.push_back(number);
   }
+  close_deaf(now, *server, deaf, out);
+}
+
+// Set-ups are worked on in turn, whichever connection they came by. One that answers a set-up sent well after
+// those that another owes, and has said nothing since, tells that the other is dead.
+void SetupServers::note_answer(Time now, std::uint32_t conn, Time sent, Outbox& out) {
+  Server* server = find(connections_.at(conn).server);
+  if (server == nullptr) return;
+  server->slowest = std::max(now - sent, server->slowest - server->slowest / 16);
+  server->answers = std::min(server->answers + 1, kAnswersKnown);
+  std::vector<std::uint32_t> deaf;
+  for (const auto& [number, other] : connections_) {
+    // One set-up may have been lost by itself.
+    if (number == conn || other.server != server->id || !other.up || other.unanswered.size() < 2) continue;
+    const auto oldest = oldest_unanswered(other);
+    if (oldest && std::max(*oldest, other.heard) + kOvertaken < sent) deaf.push_back(number);
+  }
+  close_deaf(now, *server, deaf, out);
+}
+
+void SetupServers::close_deaf(Time now, const Server& server, const std::vector<std::uint32_t>& deaf,
+                              Outbox& out) {
   for (const std::uint32_t number : deaf) {
     counters_.add("servers.connections_deaf");
-    out.log(net::Level::info, "a connection to setup server " + server->host.uid + " is dead: it is closed");
+    out.log(net::Level::info, "a connection to setup server " + server.host.uid + " is dead: it is closed");
     spoilt(now, number, out);
   }
 }
--- a/src/back/setup_servers.h
+++ b/src/back/setup_servers.h
@@ -86,6 +86,8 @@
     bool refused = false;                     // the last one was refused
     std::optional<Time> lost_at{};            // all connections broke, none has come up since
     Time next_connect{};
+    Duration slowest{};                              // answer to a set-up of late
+    int answers = 0;                                 // seen, as far as that matters
     Duration told_every{};                           // about: it tells its state by itself
     std::set<LegKey> legs{};                         // all there
     std::set<LegKey> queued{};                       // those that wait for a connection
@@ -106,6 +108,11 @@
   void let_go(Time now, std::uint32_t conn, bool closed, Outbox& out);
   void refused(Time now, std::uint32_t conn, const std::string& trouble, Outbox& out);
   void spoilt(Time now, std::uint32_t conn, Outbox& out);
+  void note_answer(Time now, std::uint32_t conn, Time sent, Outbox& out);
+  void close_deaf(Time now, const Server& server, const std::vector<std::uint32_t>& deaf, Outbox& out);
+  bool owes(Time now, const Server& server) const;
+  std::optional<Time> oldest_unanswered(const Connection& c) const;
+  std::size_t connections_to(ServerId server) const;
   void note_told(Time now, std::uint32_t conn, Outbox& out);
   static std::string trouble_with(const sip::ReadResult& read);
   Legs::iterator leg_of(std::uint32_t conn, const sip::Message& m);
--- a/src/controller.cpp
+++ b/src/controller.cpp
@@ -71,7 +71,7 @@
 constexpr double kFaulty = 0.4;
 constexpr Duration kFaultTry = 500ms;
 // So often a call is tried again after a fault.
-constexpr int kFaultRepeats = 2;
+constexpr std::size_t kFaultRepeats = 2;
 // Part of the cold budget that is spent right after a start: repeats count too, and the parts of two windows
 // may meet. It grows to the whole when the server must be warm, which is safe even if it warms only then.
 constexpr double kColdSafety = 0.5;
@@ -453,7 +453,7 @@
   std::optional<Attempt> out;
   bool answered = false;           // nothing is owed any more
   bool offered = false;            // has been to the pick before
-  int faults = 0;                  // attempts that ended with a fault of their server
+  std::vector<ServerId> faults;    // where attempts ended with one
   bool last_faulted = false;       // the last one did
   bool may_have_run = false;       // an attempt ended without proof that it never ran
   std::optional<ServerId> last;    // where the last attempt went
@@ -586,6 +586,10 @@
     if (call == nullptr || !call->out || call->out->index != e.attempt) return;
     call->out->stands = true;
     numbers_.served(call->request.number);
+    // Only now it is known that the call itself was sound: bad ones once made every server look faulty.
+    for (const ServerId at : call->faults) {
+      if (Server* server = find(at)) server->faults.ended(true);
+    }
     if (Server* server = find(e.server)) {
       server->processor.settled(e.call);
       note_answer(*server, e.delay);
@@ -643,7 +647,6 @@
     switch (e.outcome) {
       case Outcome::ok:
       case Outcome::busy_or_fault:
-        server->faults.ended(is_fault(e));
         note_answer(*server, e.delay);
         server->throttle.taken(now_);
         break;
@@ -712,7 +715,8 @@
     // call's own.
     call.last_faulted = is_fault(e);
     const bool again =
-        call.last_faulted && call.faults++ < kFaultRepeats && now_ < call.first_try + class_of(call).aim;
+        call.last_faulted && call.faults.size() < kFaultRepeats && now_ < call.first_try + class_of(call).aim;
+    if (again) call.faults.push_back(e.server);
     const bool final_answer = e.outcome == Outcome::busy_or_fault && !again;
     if (spent || once_only || final_answer) return conclude(call, Fail{id});
     if (again || proves_not_run(e.outcome)) return place(call);
--- a/tests/controller_test.cpp
+++ b/tests/controller_test.cpp
@@ -746,6 +746,21 @@
   EXPECT_EQ(script.avoided(200ms), 0U);
 }
 
+// A bad caller's set-ups meet a fault wherever they go: they tell nothing of the servers.
+TEST(Fault, OfACallThatStandsNowhereIsNotTheServers) {
+  Script script(settings_with());
+  script.list(0s, {entry(0), entry(1)});
+  for (unsigned i = 0; i < 20; ++i) {
+    unsigned server = 0;
+    auto sent = first<SendSetUp>(script.call(i * 10ms, i, 0, 0, i));
+    for (int attempt = 0; sent; ++attempt) {
+      server = static_cast<unsigned>(sent->server);
+      sent = first<SendSetUp>(script.ends(i * 10ms + 1ms, i, server, kFault, attempt));
+    }
+  }
+  EXPECT_EQ(script.avoided(200ms), 0U);
+}
+
 // ---- settings that change
 
 TEST(Retune, CallsKeepTheirAttemptsAndServersWhatWasLearned) {
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -174,6 +174,42 @@
   CHECK_EQ(lab.line().type, "release");
 }
 
+// With answers known to come within 20 ms, 600 ms of silence were waited for, and 15 calls hung meanwhile.
+void a_silent_connection_is_noticed_by_what_it_owes() {
+  Ready lab(2);
+  const auto id = [](int i) { return "00000000000000" + std::to_string(10 + i); };
+  for (int i = 0; i < 8; ++i) {
+    lab.receive(kCaller, set_up(id(i)));
+    const sip::Message invite = lab.invite(lab.s0);
+    lab.pass(20ms);
+    lab.receive(lab.s0, server_answer(invite, 200, "a"));
+    lab.messages(lab.s0);
+  }
+  lab.lines(kCaller);
+  CHECK(lab.connects.empty());
+  lab.receive(kCaller, set_up(id(20)) + set_up(id(21)) + set_up(id(22)));
+  CHECK_EQ(lab.messages(lab.s0).size(), 3U);
+  lab.pass(90ms);
+  CHECK(lab.connects.empty());
+  lab.pass(70ms);
+  CHECK_EQ(lab.connects.size(), 1U);  // doubted: what follows goes another way, what is owed is waited for
+  const ConnId next = lab.connects.at(0).conn;
+  lab.bring_up();
+  lab.receive(kCaller, set_up(id(30)));
+  const sip::Message invite = lab.invite(next);
+  CHECK(std::count(lab.closed.begin(), lab.closed.end(), lab.s0) == 0);
+  lab.pass(20ms);
+  lab.receive(next, server_answer(invite, 200, "a"));  // overtakes the three
+  CHECK_EQ(std::count(lab.closed.begin(), lab.closed.end(), lab.s0), 1);
+  lab.messages(lab.s1);
+  lab.pass(500ms);
+  std::set<std::string> again;
+  for (const sip::Message& m : lab.messages(lab.s1)) {
+    if (m.method == "INVITE") again.insert(std::string(m.header("Call-ID")));
+  }
+  CHECK_EQ(again.size(), 3U);
+}
+
 // Where the next message could still be found, the connection was kept, and what was sent on it got no
 // answer.
 void a_spoilt_answer_ends_its_connection() {
@@ -708,6 +744,7 @@
   a_full_server_sends_the_call_elsewhere_at_once();
   a_further_attempt_at_the_same_server_is_answered();
   the_end_of_a_call_may_come_on_the_connection_of_an_earlier_attempt();
+  a_silent_connection_is_noticed_by_what_it_owes();
   a_spoilt_answer_ends_its_connection();
   more_than_belongs_to_an_answer_is_passed_over();
   an_answer_that_was_lost_shows_in_the_release();
