--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 TESTS ?= build-tests
 SANITIZE = -Wall -Wextra -Werror -Wno-maybe-uninitialized -fsanitize=address,undefined -fno-sanitize-recover=all
 
-.PHONY: build test lint run bench bench-load bench-gap
+.PHONY: build test lint run bench bench-load bench-gap bench-ops
 
 build:
 	cmake -B $(BUILD) -DCMAKE_BUILD_TYPE=Release
@@ -29,6 +29,9 @@
 bench-load: bench
 	build-bench/graniterun_load_bench build-bench/graniterun
 
+bench-ops: bench
+	build-bench/graniterun_ops_bench build-bench/graniterun
+
 bench-gap: bench
 	build-bench/graniterun_limits_model 1000000
 	build-bench/graniterun_gap_bench build-bench/graniterun build-bench/graniterun_announcer build-bench/graniterunctl
--- a/bench/programs.h
+++ b/bench/programs.h
@@ -15,10 +15,9 @@
 inline std::string at(int port) { return "127.0.0.1:" + std::to_string(port); }
 inline int free_port() { return test::Socket::bound(SOCK_STREAM).port(); }
 
-// `index` of `size` gatekeepers in front of the servers; `deploy`: its deploy file, or null.
-inline std::unique_ptr<test::Program> gatekeeper(const std::string& binary, const std::string& listen,
-                                                 const std::vector<std::string>& servers, int index, int size,
-                                                 const json& deploy = {}) {
+// The configuration of `index` of `size` gatekeepers in front of the servers.
+inline json config_of(const std::string& listen, const std::vector<std::string>& servers, int index,
+                      int size) {
   json settings = test::settings();
   settings["familyInfo"]["poolsByClass"] = {{0, 1}, {0, 1}};
   settings["replicasOfMe"] = size;
@@ -34,13 +33,20 @@
                        {"model", "std-1core"},
                        {"boot_ms", 0}});
   const json hosts = {{"rev", 1}, {"all", true}, {"targets", targets}};
-  const json config = {{"name", "n" + std::to_string(index)},
-                       {"listen", listen},
-                       {"seed", std::to_string(1000 + index)},
-                       {"limits", {{"cores", 1.0}, {"memory_mb", 192}, {"sockets", 1024}}},
-                       {"known", {{"pos", 1}, {"entries", {{{"pos", 1}, {"hosts", hosts}}}}}},
-                       {"settings", settings}};
-  return std::make_unique<test::Program>(binary, config.dump(), deploy.is_null() ? "" : deploy.dump());
+  return {{"name", "n" + std::to_string(index)},
+          {"listen", listen},
+          {"seed", std::to_string(1000 + index)},
+          {"limits", {{"cores", 1.0}, {"memory_mb", 192}, {"sockets", 1024}}},
+          {"known", {{"pos", 1}, {"entries", {{{"pos", 1}, {"hosts", hosts}}}}}},
+          {"settings", settings}};
+}
+
+// `deploy`: its deploy file, or null.
+inline std::unique_ptr<test::Program> gatekeeper(const std::string& binary, const std::string& listen,
+                                                 const std::vector<std::string>& servers, int index, int size,
+                                                 const json& deploy = {}) {
+  return std::make_unique<test::Program>(binary, config_of(listen, servers, index, size).dump(),
+                                         deploy.is_null() ? "" : deploy.dump());
 }
 
 }  // namespace graniterun::bench
--- a/lab/load.cpp
+++ b/lab/load.cpp
@@ -12,6 +12,8 @@
 
 constexpr Duration kTick = 1ms;
 constexpr Duration kAnswersWithin = 4s;
+// A set-up that crosses a close within so long is sent once more, as the platform has it.
+constexpr Duration kCrossing = 50ms;
 
 std::string id_of(std::size_t number) {
   std::string text(16, '0');
@@ -53,6 +55,17 @@
                             "Content-Length: 0\r\n\r\n"});
 }
 
+// A gatekeeper may close a connection on which no set-up is open.
+void Load::on(Time now, const net::Closed& e, net::Effects& out) {
+  if (e.conn.concern != net::Concern::platform) return;
+  out.push_back(net::Connect{e.conn, plan_.gatekeepers[e.conn.number], 2s});
+  for (auto it = calls_.rbegin(); it != calls_.rend() && now - it->sent < kCrossing; ++it) {
+    if (it->gatekeeper != e.conn.number || it->finals > 0 || std::exchange(it->resent, true)) continue;
+    ++resent_;
+    out.push_back(net::Send{e.conn, it->line});
+  }
+}
+
 void Load::place(Time now, std::size_t flow, net::Effects& out) {
   const Flow& f = plan_.flows[flow];
   CallRecord call;
@@ -67,11 +80,10 @@
   const std::string number = f.number.empty() ? id_of(random_()) : f.number;
   by_id_.emplace(id, calls_.size());
   ++open_;
-  out.push_back(net::Send{{net::Concern::platform, static_cast<std::uint32_t>(call.gatekeeper)},
-                          R"({"type":"setup","id":")" + id +
-                              R"(","fields":{"class":"voice","left":"3000","key":")" + number +
-                              R"(","extras":"dest:)" + std::to_string(random_() % plan_.servers.size()) +
-                              R"("},"sdp":"o"})" + "\n"});
+  call.line = R"({"type":"setup","id":")" + id + R"(","fields":{"class":"voice","left":"3000","key":")" +
+              number + R"(","extras":"dest:)" + std::to_string(random_() % plan_.servers.size()) +
+              R"("},"sdp":"o"})" + "\n";
+  out.push_back(net::Send{{net::Concern::platform, static_cast<std::uint32_t>(call.gatekeeper)}, call.line});
   calls_.push_back(call);
 }
 
--- a/lab/load.h
+++ b/lab/load.h
@@ -48,6 +48,8 @@
   bool worded = false;  // refused with words: by a gap that has some
   int cause = 0;
   int wait_ms = 0;
+  std::string line{};  // of a set-up that may have to be sent once more
+  bool resent = false;
 };
 
 class Load {
@@ -57,6 +59,8 @@
   void run();
   const std::vector<CallRecord>& calls() const { return calls_; }
   std::uint64_t invites() const { return invites_; }
+  // Set-ups that crossed the close of their connection and were sent once more.
+  std::uint64_t resent() const { return resent_; }
 
  private:
   void step(Time now, const net::Event& event, net::Effects& effects);
@@ -64,6 +68,7 @@
   void on(Time now, const net::TimerFired& e, net::Effects& out);
   void on(Time now, const net::Received& e, net::Effects& out);
   void on(Time now, const net::Accepted& e, net::Effects& out);
+  void on(Time now, const net::Closed& e, net::Effects& out);
   void place(Time now, std::size_t flow, net::Effects& out);
   void from_gatekeeper(Time now, std::size_t gatekeeper, const jsonl::Message& m, net::Effects& out);
   void from_caller_side(Time now, net::ConnId conn, const sip::Message& m, net::Effects& out);
@@ -84,6 +89,7 @@
   Time busy_until_{};  // of the servers' processors, taken as one with a line for each
   std::size_t open_ = 0;
   std::uint64_t invites_ = 0;
+  std::uint64_t resent_ = 0;
   Time started_{};
   Time ended_{};
 };
--- a/tests/stand_in.h
+++ b/tests/stand_in.h
@@ -135,7 +135,9 @@
 // The program, started with a configuration of the test's own. Its output is kept.
 class Program {
  public:
-  Program(const std::string& binary, const std::string& config, const std::string& deploy = {}) {
+  // `inherited`: a listening socket that it gets as descriptor 7, as the platform does; none: -1.
+  Program(const std::string& binary, const std::string& config, const std::string& deploy = {},
+          int inherited = -1) {
     const std::string dir = std::string(::getenv("TMPDIR") ? ::getenv("TMPDIR") : "/tmp");
     base_ = dir + "/graniterun-test-" + std::to_string(::getpid()) + "-" + std::to_string(++started());
     configure(config);
@@ -148,6 +150,12 @@
     ::setenv("RELAY_CONFIG", (base_ + ".json").c_str(), 1);
     ::unsetenv("RELAY_LISTEN");
     ::unsetenv("RELAY_NAME");
+    ::unsetenv("RELAY_MANAGEMENT");
+    ::unsetenv("RELAY_INHERITED_FD");
+    if (inherited >= 0) {
+      ::dup2(inherited, 7);
+      ::setenv("RELAY_INHERITED_FD", "7", 1);
+    }
     if (deploy.empty()) {
       ::execl(binary.c_str(), binary.c_str(), nullptr);
     } else {
