Open one more connection where calls stood on one that is closed as dead

Checked: a server tells a release on the connection of its set-up and again only on the next one opened; with another connection in use already, none was opened after the dead one was closed (spoilt and look_after in setup_servers.cpp connect only without a current one), so what the server had written there was gone. Since silent connections are doubted sooner the second one is there more often. Change: where calls stood on a connection closed as dead and another is in use, one more is opened for news; it takes no set-ups and goes 300 ms after its last word.

--- a/src/back/setup_servers.cpp
+++ b/src/back/setup_servers.cpp
@@ -26,6 +26,8 @@
 // An answer to a set-up sent so much later than one that another connection owes has overtaken it.
 constexpr Duration kOvertaken = 100ms;
 constexpr std::size_t kMostConnections = 3;  // to a server
+// So long after the last word a connection that was opened for news is kept.
+constexpr Duration kNewsWithin = 300ms;
 // After so long without a byte and without a connection its calls are taken to be over (8 s are allowed).
 constexpr Duration kVanished = 5s;
 // A process that died refuses at once; a short restart is let pass.
@@ -195,11 +197,11 @@
 
 // ---- connections
 
-void SetupServers::connect(Time now, Server& server, Outbox& out) {
+void SetupServers::connect(Time now, Server& server, Outbox& out, bool for_news) {
   const std::uint32_t number = ++last_connection_;
   server.connecting = number;
   server.next_connect = now + kReconnectPause;
-  connections_[number] = {server.id, false, now, {}, {}, {}};
+  connections_[number] = {server.id, false, now, {}, {}, {}, for_news};
   counters_.add("servers.connects");
   out.net.push_back(net::Connect{{net::Concern::server, number}, server.host.address, connect_within_});
 }
@@ -216,7 +218,7 @@
     out.log(net::Level::info, "setup server " + server->host.uid + " can be reached again");
   server->tried = true;
   server->connecting.reset();
-  server->current = e.conn.number;
+  if (!it->second.for_news || !server->current) server->current = e.conn.number;
   server->unreachable_since.reset();
   server->lost_at.reset();
   server->heard = now;
@@ -297,8 +299,17 @@
 void SetupServers::spoilt(Time now, std::uint32_t conn, Outbox& out) {
   const auto it = connections_.find(conn);
   Server* server = it == connections_.end() ? nullptr : find(it->second.server);
+  const bool stood_there =
+      server != nullptr && std::any_of(server->legs.begin(), server->legs.end(), [&](const auto& k) {
+        const Leg& leg = legs_.at(k);
+        return leg.state == LegState::stands && leg.conn == conn;
+      });
   let_go(now, conn, false, out);
-  if (server != nullptr) look_after(now, *server, out);
+  if (server == nullptr) return;
+  look_after(now, *server, out);
+  // A release that went there unread is told again on the next connection opened, and only there: with
+  // another one in use already none was opened, and the caller was never told.
+  if (stood_there && server->current && !server->connecting) connect(now, *server, out, true);
 }
 
 // Keeps a server in reach, and finds out that it has vanished or died.
@@ -382,6 +393,7 @@
   for (const auto& [number, c] : connections_) {
     Server* server = find(c.server);
     if (!c.up || (server != nullptr && server->current == number)) continue;
+    if (c.for_news && now - c.heard < kNewsWithin) continue;
     if (c.unanswered.empty()) idle.push_back(number);
   }
   for (const std::uint32_t number : idle) let_go(now, number, false, out);
--- a/src/back/setup_servers.h
+++ b/src/back/setup_servers.h
@@ -74,6 +74,7 @@
     std::optional<Time> told_at{};     // its state, last
     std::optional<Time> half_since{};  // a message has begun and is not whole
     std::set<LegKey> unanswered{};     // set-ups sent on it
+    bool for_news = false;             // it takes no set-ups: releases are told again on it
   };
   struct Server {
     Host host;
@@ -95,7 +96,7 @@
   };
 
   Server* find(ServerId id);
-  void connect(Time now, Server& server, Outbox& out);
+  void connect(Time now, Server& server, Outbox& out, bool for_news = false);
   void send_invite(Time now, Server& server, Leg& leg, Outbox& out);
   void look_after(Time now, Server& server, Outbox& out);
   void answered(Time now, std::uint32_t conn, const sip::Message& m, Outbox& out);
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -201,8 +201,20 @@
   lab.pass(20ms);
   lab.receive(next, server_answer(invite, 200, "a"));  // overtakes the three
   CHECK_EQ(std::count(lab.closed.begin(), lab.closed.end(), lab.s0), 1);
+  // Calls stood there, and what told of their end may be lost: it is told again on the next connection, which
+  // takes no set-ups and goes when it has nothing more to tell.
+  CHECK_EQ(lab.connects.size(), 1U);
+  const ConnId news = lab.connects.at(0).conn;
+  lab.bring_up();
+  lab.lines(kCaller);
+  lab.receive(news, server_bye(id(0), 16));
+  CHECK_EQ(lab.line().type, "release");
+  lab.messages(next);
+  lab.receive(kCaller, set_up(id(31)));
+  CHECK_EQ(lab.invite(next).header("Call-ID"), id(31));
   lab.messages(lab.s1);
   lab.pass(500ms);
+  CHECK_EQ(std::count(lab.closed.begin(), lab.closed.end(), news), 1);
   std::set<std::string> again;
   for (const sip::Message& m : lab.messages(lab.s1)) {
     if (m.method == "INVITE") again.insert(std::string(m.header("Call-ID")));
