Close a spoilt connection to a server at once, so that releases are told elsewhere

To blame: Close in net/runtime.cpp shuts the sending side only and reads and drops for 700 ms, so the server went on to tell releases on 5. Ruled out: no second connection (9 was up 10 ms later), a second copy of a refusal laid to another attempt, a release told to a caller that does not read (no 'tell' for it). Change: SetupServers::spoilt drops the connection at once, after one try to write what the step has sent.

--- a/src/back/setup_servers.cpp
+++ b/src/back/setup_servers.cpp
@@ -304,7 +304,10 @@
         const Leg& leg = legs_.at(k);
         return leg.state == LegState::stands && leg.conn == conn;
       });
-  let_go(now, conn, false, out);
+  // At once: while it was still read until the other side ended it, a server went on to tell releases on it,
+  // and they were dropped.
+  out.net.push_back(net::Drop{{net::Concern::server, conn}});
+  let_go(now, conn, true, out);
   if (server == nullptr) return;
   look_after(now, *server, out);
   // A release that went there unread is told again on the next connection opened, and only there: with
--- a/src/net/events.h
+++ b/src/net/events.h
@@ -135,7 +135,7 @@
 struct Close {  // once what was sent is written
   ConnId conn;
 };
-struct Drop {  // at once, whatever is not written
+struct Drop {  // at once, whatever can't be written now
   ConnId conn;
 };
 struct CloseQuiet {  // unless something has come that was not read yet: that is told first
--- a/src/net/runtime.cpp
+++ b/src/net/runtime.cpp
@@ -412,7 +412,13 @@
   }
 
   void carry_out(const Drop& e) {
-    if (const auto it = connections_.find(e.conn); it != connections_.end()) connections_.erase(it);
+    const auto it = connections_.find(e.conn);
+    if (it == connections_.end()) return;
+    // What this step has sent, as far as it can be written now.
+    const std::string_view bytes = it->second->out.contents();
+    if (it->second->connected && !bytes.empty())
+      g_socket_send(it->second->socket.get(), bytes.data(), bytes.size(), nullptr, nullptr);
+    connections_.erase(it);
   }
   void carry_out(const CloseQuiet& e) {
     const auto it = connections_.find(e.conn);
--- a/tests/lab.h
+++ b/tests/lab.h
@@ -73,7 +73,10 @@
       if (const auto* e = std::get_if<net::Send>(&effect)) sent[e->conn] += e->bytes;
       if (const auto* e = std::get_if<net::SendDatagram>(&effect)) datagrams.push_back(*e);
       if (const auto* e = std::get_if<net::Close>(&effect)) closed.push_back(e->conn);
-      if (const auto* e = std::get_if<net::Drop>(&effect)) closed.push_back(e->conn);
+      if (const auto* e = std::get_if<net::Drop>(&effect)) {
+        closed.push_back(e->conn);
+        dropped.push_back(e->conn);
+      }
       if (const auto* e = std::get_if<net::CloseQuiet>(&effect)) quiet.push_back(e->conn);
       if (const auto* e = std::get_if<net::Listen>(&effect)) listens.push_back(*e);
       if (const auto* e = std::get_if<net::StopListening>(&effect)) stopped_listening.push_back(e->concern);
@@ -144,7 +147,8 @@
   std::map<ConnId, std::string> unread;
   std::vector<net::SendDatagram> datagrams;
   std::vector<ConnId> closed;
-  std::vector<ConnId> quiet;  // to be closed if nothing unread has come
+  std::vector<ConnId> dropped;  // of those, at once
+  std::vector<ConnId> quiet;    // to be closed if nothing unread has come
   std::vector<net::Listen> listens;
   std::vector<Concern> stopped_listening;
   std::optional<int> exit_status;
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -201,6 +201,7 @@
   lab.pass(20ms);
   lab.receive(next, server_answer(invite, 200, "a"));  // overtakes the three
   CHECK_EQ(std::count(lab.closed.begin(), lab.closed.end(), lab.s0), 1);
+  CHECK_EQ(std::count(lab.dropped.begin(), lab.dropped.end(), lab.s0), 1);  // read no more, not half closed
   // Calls stood there, and what told of their end may be lost: it is told again on the next connection, which
   // takes no set-ups and goes when it has nothing more to tell.
   CHECK_EQ(lab.connects.size(), 1U);
