Share one set of classes, one listen and one test set-up where the change had copies

Found: the classes in force were copied for each front; listen took its address and concern beside the Listen that holds them; keys were sorted by hand though a set tells the same; hand_on armed a second look beside the one that runs, for good; three tests wrote the same set-up line and two the same reading of a figure; Management::waiting and two lines of the bench were dead; a constructor of Broker was open that only another one calls; three comments said less than the code. Change: the table holds the shared classes, listen takes a Listen, PlatformConfig::keys is a set, Outbox::drop, Lab::figure and set_up_line; no behaviour but the one look less.

--- a/bench/ops_bench.cpp
+++ b/bench/ops_bench.cpp
@@ -1,7 +1,6 @@
 // Days of operation with real programs: management calls beside silent callers at full load, the figures
 // against the stand-ins' own count, reloads and twenty upgrades under load. Usage: ops_bench GATEKEEPER.
 // Exits with 1 where an aim is missed.
-#include <atomic>
 #include <cstdio>
 #include <thread>
 
@@ -83,10 +82,8 @@
   const auto program = site.start(binary, management);
   lab::Load load(site.plan(2000, 6s));
   double longest = 0.0;
-  Clock::time_point scraped_from{};
   std::thread operators([&] {
     std::this_thread::sleep_for(4500ms);
-    scraped_from = Clock::now();
     std::vector<test::Socket> silent;
     for (int i = 0; i < 60; ++i) {
       if (i % 6 == 0) {
--- a/include/graniterun/controller.h
+++ b/include/graniterun/controller.h
@@ -230,7 +230,7 @@
   void handle(Time now, const Event& event, std::vector<Action>& actions);
 
   // How many core servers of the list get no new set-ups at `now` but such as try them out: those that drain,
-  // and those whose wait leaves them no target. Changes nothing.
+  // that answer faults, and whose wait leaves them no target. Changes nothing.
   std::size_t avoided(Time now) const;
 
  private:
--- a/src/app/gatekeeper.cpp
+++ b/src/app/gatekeeper.cpp
@@ -32,7 +32,7 @@
 front::PlatformFrontSettings platform_settings(const PlatformConfig& config,
                                                const core::ClassTable& classes) {
   front::PlatformFrontSettings s;
-  s.classes = std::make_shared<const core::Classes>(classes.classes);
+  s.classes = classes.classes;
   s.most_connections = most_callers(config);
   return s;
 }
@@ -42,7 +42,7 @@
   front::SipFrontSettings s;
   s.udp = deploy.sip_udp;
   s.tcp = deploy.sip_tcp;
-  s.classes = std::make_shared<const core::Classes>(classes.classes);
+  s.classes = classes.classes;
   s.seed = config.seed;
   s.most_connections = most_callers(config) / 2;
   s.load_control_from = deploy.load_control_from;
@@ -276,7 +276,7 @@
   out.log(net::Level::info, config_.name + " was asked to stop");
   if (config_.inherited) {
     out.net.push_back(net::StopListening{net::Concern::platform});
-    platform_.hand_on(now, out);
+    platform_.hand_on(out);
   }
   out.arm(net::Concern::process, 0, now + kLook);
 }
@@ -317,18 +317,16 @@
               std::string("'") + what + "' is now '" + after + "': used from the next start on");
   }
   classes_ = std::move(*table);
-  config_.class_names = fresh.class_names;
   config_.keys = fresh.keys;
-  config_.settings = fresh.settings;
-  config_.settings.classes = classes_.places;
   config_.file_listen = fresh.file_listen;
   config_.file_management = fresh.file_management;
-  const auto named = std::make_shared<const core::Classes>(classes_.classes);
-  platform_.retune(named);
-  sip_.retune(named);
-  servers_.retune(config_.settings);
-  broker_.tallies().name(config_.class_names);
-  out.tell(core::Retuned{config_.settings});
+  Settings settings = fresh.settings;
+  settings.classes = classes_.places;
+  platform_.retune(classes_.classes);
+  sip_.retune(classes_.classes);
+  servers_.retune(settings);
+  broker_.tallies().name(fresh.class_names);
+  out.tell(core::Retuned{std::move(settings)});
   journal_.move(now, fresh.journal, out);
 }
 
--- a/src/back/setup_servers.cpp
+++ b/src/back/setup_servers.cpp
@@ -306,7 +306,7 @@
       });
   // At once: while it was still read until the other side ended it, a server went on to tell releases on it,
   // and they were dropped.
-  out.net.push_back(net::Drop{{net::Concern::server, conn}});
+  out.drop({net::Concern::server, conn});
   let_go(now, conn, true, out);
   if (server == nullptr) return;
   look_after(now, *server, out);
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -4,7 +4,6 @@
 #include <charconv>
 #include <cmath>
 #include <nlohmann/json.hpp>
-#include <set>
 #include <utility>
 
 #include "proto/jsonl.h"
@@ -206,12 +205,10 @@
     if (settings.contains("me")) c.index = settings["me"].get<std::uint32_t>();
     if (settings.contains("areas")) c.areas = settings["areas"].get<std::vector<std::string>>();
     for (const json& one : need(settings, "classes")) c.class_names.push_back(text(one, "name"));
-    std::set<std::string> keys;
     for (const auto& [name, part] : whole.items()) {
-      keys.insert(name);
-      if (name != "known") key_paths(part, name, keys);
+      c.keys.insert(name);
+      if (name != "known") key_paths(part, name, c.keys);
     }
-    c.keys.assign(keys.begin(), keys.end());
 
     if (whole.contains("known")) {
       const json& known = whole["known"];
@@ -230,7 +227,7 @@
 
 void check_keys(const PlatformConfig& before, const PlatformConfig& fresh) {
   for (const std::string& key : before.keys) {
-    if (!std::binary_search(fresh.keys.begin(), fresh.keys.end(), key))
+    if (!fresh.keys.contains(key))
       throw BadConfig("the configuration has no '" + key + "', which the one in force has");
   }
 }
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -4,6 +4,7 @@
 
 #include <nlohmann/json_fwd.hpp>
 #include <optional>
+#include <set>
 #include <stdexcept>
 #include <string>
 #include <string_view>
@@ -53,8 +54,8 @@
   std::vector<HostList> known{};
   std::vector<std::string> areas{};
   std::vector<std::string> class_names{};
-  std::vector<std::string> keys{};  // paths of all that the file sets but what `known` holds, sorted
-  std::uint32_t index{};            // of this gatekeeper among settings.senders
+  std::set<std::string> keys{};  // paths of all that the file sets but what `known` holds
+  std::uint32_t index{};         // of this gatekeeper among settings.senders
   Settings settings{};
 };
 PlatformConfig read_platform_config(std::string_view text);  // throws BadConfig
--- a/src/controller.cpp
+++ b/src/controller.cpp
@@ -65,7 +65,7 @@
 constexpr Duration kHoldReserve = 400ms;
 // A held call is answered so long before its deadline.
 constexpr Duration kAnswerMargin = 20ms;
-// A server's faults are smoothed over so many set-ups; from this share on it is passed over, but for one
+// A server's faults are smoothed over so many set-ups; from this share on it is asked last, but for one
 // set-up in so long that tries it out.
 constexpr double kFaultEvents = 6.0;
 constexpr double kFaulty = 0.4;
@@ -868,6 +868,7 @@
     return left >= call.request.lines || random_.uniform() * std::max(expected, 1e-9) < left;
   }
 
+  // In service, open to the class, and not just tried, unless what it answered was a fault.
   bool open_to(const Call& call, const Server& server) const {
     if (!server.in_service() || (call.last == server.entry.server && !call.last_faulted)) return false;
     const auto& pools = class_of(call).open_pools;
@@ -880,7 +881,7 @@
     });
   }
 
-  // In service, open to the class, not just tried, and not spared for being cold.
+  // And not spared for being cold.
   bool eligible(const Call& call, Server& server) {
     if (!open_to(call, server)) return false;
     return !server.cold(now_, settings_) ||
--- a/src/core/broker.h
+++ b/src/core/broker.h
@@ -183,8 +183,6 @@
 
   Broker(const Settings& settings, std::uint64_t seed, Contracts contracts, Counters& counters,
          Gate gate = {});
-  Broker(const Settings& settings, std::shared_ptr<Controller> controller, Contracts contracts,
-         Counters& counters, Gate gate);
   Broker(const Settings& settings, Decide decide, Contracts contracts, Counters& counters, Gate gate = {});
 
   void step(Time now, const Event& event, Effects& effects);
@@ -199,6 +197,9 @@
   std::size_t avoided(Time now) const { return controller_ ? controller_->avoided(now) : 0; }
 
  private:
+  Broker(const Settings& settings, std::shared_ptr<Controller> controller, Contracts contracts,
+         Counters& counters, Gate gate);
+
   struct Attempt {
     int index{};
     ServerId server{};
--- a/src/core/classes.cpp
+++ b/src/core/classes.cpp
@@ -25,11 +25,12 @@
                                  const std::vector<CallClass>& terms, const std::vector<bool>& in_use) {
   ClassTable after;
   after.places = before.places;
+  Classes classes;
   std::vector<bool> taken(before.places.size());
   for (std::size_t i = 0; i < taken.size(); ++i) taken[i] = i < in_use.size() && in_use[i];
   std::vector<std::optional<ClassIndex>> places(names.size());
   for (std::size_t i = 0; i < names.size(); ++i) {
-    const NamedClass* old = before.classes.find(names[i]);
+    const NamedClass* old = before.classes->find(names[i]);
     if (old == nullptr || !(old->terms == terms[i])) continue;
     places[i] = old->place;
     taken[old->place] = true;
@@ -43,13 +44,14 @@
     }
     if (*places[i] >= after.places.size()) after.places.resize(*places[i] + 1);
     after.places[*places[i]] = terms[i];
-    after.classes.named.push_back({names[i], *places[i], terms[i]});
+    classes.named.push_back({names[i], *places[i], terms[i]});
   }
   // What is free holds nothing that the decisions could reckon with.
   for (std::size_t i = 0; i < taken.size(); ++i) {
     if (!taken[i]) after.places[i] = CallClass{};
   }
   if (after.places.size() > ClassTable::kMost) return std::nullopt;
+  after.classes = std::make_shared<const Classes>(std::move(classes));
   return after;
 }
 
--- a/src/core/classes.h
+++ b/src/core/classes.h
@@ -29,7 +29,7 @@
 struct ClassTable {
   static constexpr std::size_t kMost = 128;
   std::vector<CallClass> places{};
-  Classes classes{};
+  std::shared_ptr<const Classes> classes = std::make_shared<const Classes>();
 };
 
 // The table after the settings have changed to `names` with `terms` (one each). A class of the same name and
--- a/src/front/keeper.h
+++ b/src/front/keeper.h
@@ -33,7 +33,7 @@
   // A message has begun on it and is not whole.
   bool is_half(net::ConnId conn) const {
     const auto it = open_.find(conn);
-    return it != open_.end() && it->second.waits_since && it->second.half;
+    return it != open_.end() && it->second.half;
   }
   // Where there are too many, the one to close. `busy` tells whether something is open on a connection.
   template <class Busy>
--- a/src/front/platform.cpp
+++ b/src/front/platform.cpp
@@ -64,9 +64,8 @@
   }
 }
 
-void Platform::hand_on(Time now, Outbox& out) {
+void Platform::hand_on(Outbox& out) {
   handed_on_ = true;
-  out.arm(net::Concern::platform, 0, now + kLook);
   close_quiet(out);
 }
 
--- a/src/front/platform.h
+++ b/src/front/platform.h
@@ -36,7 +36,7 @@
   // New requests are of these classes from now on.
   void retune(std::shared_ptr<const core::Classes> classes) { settings_.classes = std::move(classes); }
   // Another process takes the callers from now on: each connection is closed once nothing is open on it.
-  void hand_on(Time now, Outbox& out);
+  void hand_on(Outbox& out);
   std::size_t connected() const { return connections_.size(); }
 
   void apply(const core::Serve& e, Outbox& out);
--- a/src/management/management.cpp
+++ b/src/management/management.cpp
@@ -31,7 +31,7 @@
   waiting_.push_back({e.conn, now});
   if (waiting_.size() <= kMostWaiting) return;
   counters_.add("management.dropped_for_room");
-  out.net.push_back(net::Drop{waiting_.front().conn});
+  out.drop(waiting_.front().conn);
   waiting_.pop_front();
 }
 
--- a/src/management/management.h
+++ b/src/management/management.h
@@ -37,8 +37,6 @@
   void on(Time now, const net::Closed& e, Outbox& out);
   void on(Time now, const net::TimerFired& e, Outbox& out);
 
-  std::size_t waiting() const { return waiting_.size(); }
-
  private:
   struct Waiting {  // for a whole line
     net::ConnId conn;
--- a/src/net/outbox.h
+++ b/src/net/outbox.h
@@ -20,6 +20,7 @@
     net.push_back(net::Send{conn, std::move(bytes), true});
   }
   void close(net::ConnId conn) { net.push_back(net::Close{conn}); }
+  void drop(net::ConnId conn) { net.push_back(net::Drop{conn}); }
   void arm(net::Concern concern, std::uint64_t number, Time at) {
     net.push_back(net::ArmTimer{{concern, number}, at});
   }
--- a/src/net/runtime.cpp
+++ b/src/net/runtime.cpp
@@ -233,9 +233,9 @@
 
   void carry_out(const Listen& e) {
     if (e.inherited) return listen_on_inherited(e);
-    listen(e.concern, e.address, G_SOCKET_TYPE_STREAM, e);
+    listen(e, G_SOCKET_TYPE_STREAM);
   }
-  void carry_out(const Bind& e) { listen(e.concern, e.address, G_SOCKET_TYPE_DATAGRAM, {}); }
+  void carry_out(const Bind& e) { listen(Listen{e.concern, e.address}, G_SOCKET_TYPE_DATAGRAM); }
   void carry_out(const StopListening& e) {
     for (auto& listener : listeners_) {
       if (listener->concern == e.concern) listener->source.end();
@@ -261,11 +261,10 @@
     listeners_.push_back(std::move(listener));
   }
 
-  void listen(Concern concern, const std::string& text, GSocketType type, Listen wanted) {
+  void listen(const Listen& wanted, GSocketType type) {
     const bool stream = type == G_SOCKET_TYPE_STREAM;
-    wanted.concern = concern;
     GError* error = nullptr;
-    const auto address = address_of(text);
+    const auto address = address_of(wanted.address);
     Owned<GSocket> socket(address == nullptr ? nullptr
                                              : g_socket_new(g_socket_address_get_family(address.get()), type,
                                                             G_SOCKET_PROTOCOL_DEFAULT, &error));
@@ -277,7 +276,7 @@
         return watch_listener(wanted, std::move(socket), type);
       }
     }
-    logger_.line(Level::error, "cannot listen on " + text + ": " +
+    logger_.line(Level::error, "cannot listen on " + wanted.address + ": " +
                                    (address == nullptr ? "not an address" : text_of(error)));
     if (wanted.needed) carry_out(Exit{1});
   }
--- a/tests/controller_test.cpp
+++ b/tests/controller_test.cpp
@@ -8,6 +8,12 @@
 namespace graniterun::test {
 namespace {
 
+Settings once_only() {  // a call that may have run is not sent again
+  Settings settings = settings_with();
+  settings.classes[0].repeatability = Repeatability::at_most_once;
+  return settings;
+}
+
 TEST(Pick, TakesTheDestinationWhileItIsFreeAndUnthrottled) {
   Script script(settings_with());
   script.list(0s, {entry(0), entry(1), entry(2)});
@@ -138,9 +144,7 @@
 }
 
 TEST(FurtherAttempt, IsNotMadeForACallThatMustRunAtMostOnceAndMayHaveRun) {
-  Settings settings = settings_with();
-  settings.classes[0].repeatability = Repeatability::at_most_once;
-  Script script(settings);
+  Script script(once_only());
   script.list(0s, {entry(0), entry(1)});
   script.call(0s, 1, 0);
   const auto actions = script.ends(50ms, 1, 0, Outcome::reset);
@@ -669,9 +673,7 @@
 }
 
 TEST(Fault, IsFinalForACallThatMayRunOnceOnly) {
-  Settings settings = settings_with();
-  settings.classes[0].repeatability = Repeatability::at_most_once;
-  Script script(settings);
+  Script script(once_only());
   script.list(0s, {entry(0), entry(1)});
   script.call(0s, 1, 0);
   EXPECT_TRUE(has<Fail>(script.ends(30ms, 1, 0, kFault)));
--- a/tests/lab.h
+++ b/tests/lab.h
@@ -58,6 +58,14 @@
   return c;
 }
 
+// A caller's set-up, as a line.
+inline std::string set_up_line(const std::string& id, const std::string& call_class = "voice",
+                               int left = 3000, int dest = 0, const std::string& sdp = "x") {
+  return R"({"type":"setup","id":")" + id + R"(","fields":{"class":")" + call_class + R"(","left":")" +
+         std::to_string(left) + R"(","key":"7f3a9c21e0b4d655","extras":"dest:)" + std::to_string(dest) +
+         R"(;width:1;via:-1"},"sdp":")" + sdp + R"("})" + "\n";
+}
+
 class Lab {
  public:
   explicit Lab(const PlatformConfig& config = config_for_tests(), const DeployConfig& deploy = {})
@@ -115,6 +123,22 @@
     }
     return up;
   }
+  // An operator's connection of its own.
+  ConnId open_management() {
+    const ConnId conn{Concern::management, ++last_management};
+    tell(net::Accepted{conn});
+    return conn;
+  }
+  // A figure of `telemetry`, as in 812|c.
+  std::string figure(const std::string& name) {
+    const ConnId conn = open_management();
+    receive(conn, "telemetry\n");
+    const std::string text = take(conn);
+    const std::string start = "\ngatekeeper." + name + ":";
+    const std::size_t at = text.find(start);
+    if (at == std::string::npos) return "none";
+    return text.substr(at + start.size(), text.find('\n', at + 1) - at - start.size());
+  }
   std::string take(ConnId conn) { return std::exchange(sent[conn], {}); }
   // The SIP messages sent on a connection since the last look.
   std::vector<sip::Message> messages(ConnId conn) {
@@ -164,6 +188,7 @@
     }
   };
   std::priority_queue<Timer> timers;
+  std::uint32_t last_management = 0;
   std::uint64_t order = 0;
 };
 
--- a/tests/management_test.cpp
+++ b/tests/management_test.cpp
@@ -17,32 +17,14 @@
 
 struct Desk : Lab {
   explicit Desk(const PlatformConfig& config = with_management()) : Lab(config) {}
-  ConnId open() {
-    const ConnId conn{Concern::management, ++last};
-    tell(net::Accepted{conn});
-    return conn;
-  }
   std::string ask(const std::string& text) {
-    const ConnId conn = open();
+    const ConnId conn = open_management();
     receive(conn, text);
     CHECK(std::count(closed.begin(), closed.end(), conn) == 1);
     return take(conn);
   }
-  std::string figure(const std::string& name) {
-    const std::string text = ask("telemetry\n");
-    const std::string start = "\ngatekeeper." + name + ":";
-    const std::size_t at = text.find(start);
-    if (at == std::string::npos) return "none";
-    return text.substr(at + start.size(), text.find('\n', at + 1) - at - start.size());
-  }
-  std::uint32_t last = 0;
 };
 
-std::string set_up(const std::string& id, const std::string& call_class = "voice") {
-  return R"({"type":"setup","id":")" + id + R"(","fields":{"class":")" + call_class +
-         R"(","left":"3000","key":"7f3a9c21e0b4d655","extras":"dest:0;width:1;via:-1"},"sdp":"x"})" + "\n";
-}
-
 void it_listens_where_it_is_told_and_nowhere_else() {
   Desk desk;
   const auto there = [](const net::Listen& l) { return l.concern == Concern::management; };
@@ -78,7 +60,7 @@
 
 void a_line_may_come_byte_by_byte() {
   Desk desk;
-  const ConnId conn = desk.open();
+  const ConnId conn = desk.open_management();
   for (const char c : std::string("telemetry\n")) {
     CHECK(desk.take(conn).empty());
     desk.receive(conn, std::string(1, c));
@@ -89,8 +71,8 @@
 
 void the_silent_are_bounded_in_time_and_number() {
   Desk desk;
-  const ConnId silent = desk.open();
-  const ConnId half = desk.open();
+  const ConnId silent = desk.open_management();
+  const ConnId half = desk.open_management();
   desk.receive(half, "telem");
   desk.pass(1900ms);
   CHECK(desk.closed.empty());
@@ -101,7 +83,7 @@
 
   desk.closed.clear();
   std::vector<ConnId> all;
-  for (int i = 0; i < 200; ++i) all.push_back(desk.open());
+  for (int i = 0; i < 200; ++i) all.push_back(desk.open_management());
   CHECK(desk.closed.size() >= 200 - management::kMostConnections);
   CHECK(desk.closed.front() == all.front());  // the oldest goes first
   CHECK(desk.ask("readyz\n").size() > 3);     // and who asks is answered all the same
@@ -118,7 +100,7 @@
   CHECK_EQ(desk.figure("pool_size"), "2|g");
   CHECK_EQ(desk.figure("pool_ejected"), "0|g");
 
-  desk.receive(kCaller, set_up("00000000000000aa"));
+  desk.receive(kCaller, set_up_line("00000000000000aa"));
   CHECK_EQ(desk.figure("active"), "1|g");
   sip::Message invite = desk.messages(s0).back();
   desk.receive(s0, server_answer(invite, 200, "answer"));
@@ -127,12 +109,12 @@
   desk.receive(s0, server_bye("00000000000000aa", 16));
   CHECK_EQ(desk.figure("active"), "0|g");
 
-  desk.receive(kCaller, set_up("00000000000000ab", "safety"));
+  desk.receive(kCaller, set_up_line("00000000000000ab", "safety"));
   desk.receive(s0, server_answer(desk.messages(s0).back(), 486));
   CHECK_EQ(desk.figure("errors.safety"), "1|c");
 
   // Given up by its caller: nothing is answered, nothing is counted.
-  desk.receive(kCaller, set_up("00000000000000ac"));
+  desk.receive(kCaller, set_up_line("00000000000000ac"));
   desk.receive(kCaller, R"({"type":"release","id":"00000000000000ac","fields":{},"cause":16})"
                         "\n");
   desk.pass(1s);
@@ -141,7 +123,7 @@
   CHECK_EQ(desk.figure("active"), "0|g");
 
   // A class that nobody but a caller names makes no line.
-  desk.receive(kCaller, set_up("00000000000000ad", "invented"));
+  desk.receive(kCaller, set_up_line("00000000000000ad", "invented"));
   CHECK_EQ(desk.figure("errors.invented"), "none");
 }
 
@@ -152,7 +134,7 @@
   const ConnId s0 = desk.connects.at(0).conn;
   desk.bring_up();
   desk.tell(net::Accepted{kCaller});
-  desk.receive(kCaller, set_up("00000000000000aa"));
+  desk.receive(kCaller, set_up_line("00000000000000aa"));
   desk.receive(s0, server_answer(desk.messages(s0).back(), 503, {}, "Warning-Word: cpu_full\r\n"));
   desk.pass(3s);
   CHECK_EQ(desk.figure("shed.voice"), "1|c");
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -14,9 +14,7 @@
 const std::string kId = "9b1f03aa5c7e2d41";
 
 std::string set_up(const std::string& id = kId, int left = 1500, int dest = 0) {
-  return R"({"type":"setup","id":")" + id + R"(","fields":{"class":"voice","left":")" + std::to_string(left) +
-         R"(","key":"7f3a9c21e0b4d655","extras":"dest:)" + std::to_string(dest) +
-         R"(;width:1;via:-1"},"sdp":"offer"})" + "\n";
+  return set_up_line(id, "voice", left, dest, "offer");
 }
 
 // A lab with one caller and both servers up.
--- a/tests/retune_test.cpp
+++ b/tests/retune_test.cpp
@@ -52,20 +52,14 @@
     tell(net::ReloadAsked{});
     tell(net::FileRead{"", text});
   }
-  std::uint64_t figure(const std::string& name) {
-    const ConnId conn{Concern::management, ++last};
-    tell(net::Accepted{conn});
-    receive(conn, "telemetry\n");
-    const std::string text = take(conn);
-    const std::size_t at = text.find("." + name + ":");
-    CHECK(at != std::string::npos);
-    return std::stoull(text.substr(at + name.size() + 2));
+  std::uint64_t count(const std::string& name) {
+    const std::string text = figure(name);
+    CHECK(text != "none");
+    return std::stoull(text);
   }
   // What a set-up of the class is answered with at once; empty: it was sent on.
   std::vector<jsonl::Message> call(const std::string& id, const std::string& call_class) {
-    receive(kCaller, R"({"type":"setup","id":")" + id + R"(","fields":{"class":")" + call_class +
-                         R"(","left":"3000","key":"7f3a9c21e0b4d655","extras":"dest:0;width:1;via:-1"},)" +
-                         R"("sdp":"x"})" + "\n");
+    receive(kCaller, set_up_line(id, call_class));
     return lines(kCaller);
   }
   sip::Message sent_on() {  // the last INVITE, wherever it went
@@ -83,7 +77,6 @@
     return *found;
   }
   ConnId server{};
-  std::uint32_t last = 0;
 };
 
 void what_is_broken_is_turned_down_whole() {
@@ -133,15 +126,15 @@
   for (const std::string& text : broken) {
     lab.connects.clear();
     lab.load(text);
-    CHECK_EQ(lab.figure("config_rejected"), ++turned_down);
+    CHECK_EQ(lab.count("config_rejected"), ++turned_down);
     CHECK(lab.connects.empty());  // the journal service is where it was
   }
-  CHECK_EQ(lab.figure("config_applied"), 0U);
+  CHECK_EQ(lab.count("config_applied"), 0U);
   CHECK_EQ(lab.call("00000000000000aa", "extra").size(), 1U);  // refused: there is no such class
   CHECK(lab.call("00000000000000ab", "voice").empty());
 
   lab.load(good);
-  CHECK_EQ(lab.figure("config_applied"), 1U);
+  CHECK_EQ(lab.count("config_applied"), 1U);
   CHECK_EQ(lab.connects.back().address, "127.0.0.1:8600");
   CHECK(lab.call("00000000000000ac", "extra").empty());
 }
@@ -186,7 +179,7 @@
   s["familyInfo"]["poolsByClass"].erase(0);
   s["limits"]["maxAttempts"] = 1;
   lab.load(f.dump());
-  CHECK_EQ(lab.figure("config_applied"), 1U);
+  CHECK_EQ(lab.count("config_applied"), 1U);
   CHECK_EQ(lab.call("00000000000000ab", "voice").size(), 1U);  // gone for new calls
   CHECK(lab.call("00000000000000ac", "safety").empty());
   const sip::Message safety = lab.sent_on();
@@ -197,12 +190,12 @@
   CHECK_EQ(std::string(again.header("Call-ID")), "00000000000000aa");
   CHECK_EQ(std::string(again.header("Priority-Class")), "voice");
   lab.receive(lab.server, server_answer(again, 200, "answer"));
-  CHECK_EQ(lab.figure("ok.voice"), 1U);
+  CHECK_EQ(lab.count("ok.voice"), 1U);
   for (std::uint32_t n = 1; n <= 2; ++n)
     lab.receive(ConnId{Concern::server, n}, server_answer(safety, 503, {}, "Warning-Word: cpu_full\r\n"));
   lab.pass(2s);
-  CHECK(lab.figure("shed.safety") + lab.figure("errors.safety") == 1U);
-  CHECK_EQ(lab.figure("tries"), 0U);  // the runtime's, which has no part in this test
+  CHECK(lab.count("shed.safety") + lab.count("errors.safety") == 1U);
+  CHECK_EQ(lab.count("tries"), 0U);  // the runtime's, which has no part in this test
 }
 
 void ten_reloads_in_a_second_the_last_one_broken() {
@@ -213,8 +206,8 @@
     lab.pass(100ms);
   }
   lab.load("{");
-  CHECK_EQ(lab.figure("config_applied"), 9U);
-  CHECK_EQ(lab.figure("config_rejected"), 1U);
+  CHECK_EQ(lab.count("config_applied"), 9U);
+  CHECK_EQ(lab.count("config_rejected"), 1U);
   CHECK(lab.call("00000000000000aa", "c8").empty());
   CHECK_EQ(lab.call("00000000000000ab", "c7").size(), 1U);
 }
@@ -253,17 +246,17 @@
     table = *after;
     std::vector<ClassIndex> seen;
     for (std::size_t i = 0; i < names.size(); ++i) {
-      const core::NamedClass* c = table.classes.find(names[i]);
+      const core::NamedClass* c = table.classes->find(names[i]);
       CHECK(c != nullptr && c->terms == terms[i] && table.places.at(c->place) == terms[i]);
       CHECK(std::count(seen.begin(), seen.end(), c->place) == 0);
       seen.push_back(c->place);
-      const core::NamedClass* old = before.classes.find(names[i]);
+      const core::NamedClass* old = before.classes->find(names[i]);
       if (old != nullptr && old->terms == terms[i]) CHECK_EQ(old->place, c->place);
     }
     for (const Open& o : open) CHECK(table.places.at(o.place) == o.terms);
     if (!open.empty() && draw() % 2 == 0) open.erase(open.begin());
     if (open.size() < 4) {
-      const core::NamedClass& c = table.classes.named[draw() % table.classes.named.size()];
+      const core::NamedClass& c = table.classes->named[draw() % table.classes->named.size()];
       open.push_back({c.place, c.terms});
     }
     widest = std::max(widest, table.places.size());
--- a/tests/upgrade_test.cpp
+++ b/tests/upgrade_test.cpp
@@ -20,10 +20,6 @@
                      [](const net::Listen& l) { return l.concern == Concern::platform; });
 }
 
-std::string set_up(const std::string& id) {
-  return R"({"type":"setup","id":")" + id + R"(","fields":{"class":"voice","left":"3000",)" +
-         R"("key":"7f3a9c21e0b4d655","extras":"dest:0;width:1;via:-1"},"sdp":"x"})" + "\n";
-}
 const std::string kPing = R"({"type":"ping","id":"00000000000000ee","fields":{},"cause":0})"
                           "\n";
 
@@ -46,7 +42,7 @@
   lab.bring_up();
   lab.tell(net::Accepted{kCaller});
   lab.tell(net::Accepted{kOther});
-  lab.receive(kCaller, set_up("00000000000000aa"));
+  lab.receive(kCaller, set_up_line("00000000000000aa"));
   lab.tell(net::StopAsked{});
   CHECK_EQ(lab.stopped_listening.size(), 1U);
   CHECK_EQ(lab.closed.size(), 1U);
@@ -55,7 +51,7 @@
   // What comes on an open connection is served, and a test there is passed: the gatekeeper is ready.
   lab.receive(kCaller, kPing);
   CHECK_EQ(lab.lines(kCaller).back().cause.value_or(-1), 1);
-  lab.receive(kCaller, set_up("00000000000000ab"));
+  lab.receive(kCaller, set_up_line("00000000000000ab"));
   for (const sip::Message& m : lab.messages(s0)) {
     if (m.method == "INVITE") lab.receive(s0, server_answer(m, 200, "answer"));
   }
@@ -76,7 +72,7 @@
   Lab lab(inherited());
   lab.bring_up();
   lab.tell(net::Accepted{kCaller});
-  const std::string line = set_up("00000000000000aa");
+  const std::string line = set_up_line("00000000000000aa");
   lab.receive(kCaller, line.substr(0, 40));
   lab.tell(net::StopAsked{});
   lab.pass(300ms);
@@ -92,7 +88,7 @@
   const ConnId s0 = lab.connects.at(0).conn;
   lab.bring_up();
   lab.tell(net::Accepted{kCaller});
-  lab.receive(kCaller, set_up("00000000000000aa"));
+  lab.receive(kCaller, set_up_line("00000000000000aa"));
   lab.receive(s0, server_answer(lab.messages(s0).back(), 200, "answer"));
   lab.tell(net::StopAsked{});
   lab.pass(6500ms);
