Take no callers in a process that was stopped before it was ready

Seen on reading: Gatekeeper::step listens on the inherited socket once the process is ready, also after SIGTERM; one that was stopped first would have taken callers and ended a second later. Change: not after SIGTERM. Measured: the new test fails without it; upgrade and retune tests pass.

--- a/src/app/gatekeeper.cpp
+++ b/src/app/gatekeeper.cpp
@@ -163,7 +163,7 @@
   }
   settle(now, out);
   const bool is_ready = ready(now);
-  if (is_ready && !listening_) listen(out);
+  if (is_ready && !listening_ && !stop_asked_) listen(out);
   platform_.ready(is_ready);
   sip_.ready(is_ready);
   finish_if_drained(now, out);
--- a/tests/upgrade_test.cpp
+++ b/tests/upgrade_test.cpp
@@ -68,6 +68,16 @@
   CHECK(lab.exit_status == 0);
 }
 
+// Stopped before it was ready, it took callers from the socket later, in its last second.
+void one_that_is_stopped_before_it_is_ready_takes_nobody() {
+  Lab lab(inherited());
+  lab.tell(net::StopAsked{});
+  lab.bring_up();
+  CHECK(!listens_for_callers(lab));
+  lab.pass(1s);
+  CHECK(lab.exit_status == 0);
+}
+
 void half_a_line_is_waited_for() {
   Lab lab(inherited());
   lab.bring_up();
@@ -115,6 +125,7 @@
 int main() {
   the_new_one_takes_callers_once_it_is_ready();
   the_old_one_leaves_new_callers_and_closes_what_is_quiet();
+  one_that_is_stopped_before_it_is_ready_takes_nobody();
   half_a_line_is_waited_for();
   it_ends_all_the_same();
   without_a_successor_it_stops_as_before();
