Tell a release that came just ahead of noise in the same read

The BYE was refused as "the Content-Length does not fit the message", the connection dropped, and the server, which had told the release, told it no more on connection 6, opened in the same step. To blame: read_stream (proto/sip.cpp) lays what can't begin a message to the one before it, and SetupServers::on(Received) refused that one whole. Ruled out by the trace: a BYE inside the body of an over-long message (there was none), a second attempt, releases told to a caller that does not read, half closed connections. Change: read_stream says that the message itself is whole (`whole`); the setup servers' side takes it unless it is an answer whose description may be cut short by what follows, and drops the connection as before. Turned down: to take what stands behind a spoilt head at a clear start line; nothing seen needs it, and it would believe what a spoilt body holds.

--- a/src/back/setup_servers.cpp
+++ b/src/back/setup_servers.cpp
@@ -552,7 +552,11 @@
       break;
     }
     it->second.half_since.reset();
-    if (std::string trouble = trouble_with(read); !trouble.empty()) {
+    const std::string trouble = trouble_with(read);
+    // What follows it is spoilt: that one says nothing against it, unless its body may be cut short by it. A
+    // release just ahead of noise in the same read was once refused with it, and its caller never told.
+    const bool sound = read.whole && !has_description(read.message);
+    if (!trouble.empty() && !sound) {
       // Whatever is spoilt, nothing more comes on that connection: kept in use where the next message could
       // have been found, it once took set-ups for seconds that were never answered.
       return refused(now, e.conn.number, trouble, out);
@@ -561,12 +565,19 @@
       requested(now, e.conn.number, read.message, out);
     } else {
       answered(now, e.conn.number, read.message, out);
-      if (!connections_.contains(e.conn.number)) return;
     }
+    if (!connections_.contains(e.conn.number)) return;
+    if (sound) return refused(now, e.conn.number, "what follows a message can't begin one", out);
   }
   out.net.push_back(net::Consume{e.conn, used});
 }
 
+// An answer by which a call stands: callers are told what it holds.
+bool SetupServers::has_description(const sip::Message& m) {
+  const auto cseq = sip::cseq_of(m);
+  return !m.is_request() && m.status >= 200 && m.status < 300 && (!cseq || cseq->method == "INVITE");
+}
+
 // What makes a message one that can't be read.
 std::string SetupServers::trouble_with(const sip::ReadResult& read) {
   if (read.state == sip::ReadState::malformed) return read.trouble;
--- a/src/back/setup_servers.h
+++ b/src/back/setup_servers.h
@@ -116,6 +116,7 @@
   std::size_t connections_to(ServerId server) const;
   void note_told(Time now, std::uint32_t conn, Outbox& out);
   static std::string trouble_with(const sip::ReadResult& read);
+  static bool has_description(const sip::Message& m);
   Legs::iterator leg_of(std::uint32_t conn, const sip::Message& m);
   void send(Leg& leg, const sip::Message& m, Outbox& out);
 
--- a/src/proto/sip.cpp
+++ b/src/proto/sip.cpp
@@ -240,9 +240,11 @@
   }
   result.used = skipped + head + *length;
   if (!trouble.empty()) return malformed(std::move(result), std::move(trouble), false);
-  if (!may_begin(rest.substr(head + *length)))
-    return malformed(std::move(result), "the Content-Length does not fit the message", true);
   result.message.body = rest.substr(head, *length);
+  if (!may_begin(rest.substr(head + *length))) {
+    result.whole = true;
+    return malformed(std::move(result), "the Content-Length does not fit the message", true);
+  }
   result.state = ReadState::message;
   return result;
 }
--- a/src/proto/sip.h
+++ b/src/proto/sip.h
@@ -53,6 +53,8 @@
   Message message{};     // of a malformed one, what could be read
   std::string trouble{};
   bool lost = false;  // malformed, and where the next message begins can't be told
+  // Malformed only by what follows it: `message` is all there, if its length is right.
+  bool whole = false;
 };
 
 // Whether a message may begin with these bytes, as far as they go.
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -248,6 +248,30 @@
   }
 }
 
+// Both came in one read, and the release was taken for what did not fit: the caller was never told (one play
+// of four of a day with spoilt answers).
+void a_release_just_ahead_of_noise_is_told() {
+  const std::string noise =
+      "\x01gx\xd7\xfe"
+      "E\r\n\r\n";
+  Ready lab;
+  lab.receive(kCaller, set_up());
+  lab.receive(lab.s0, server_answer(lab.invite(lab.s0), 200, "a"));
+  CHECK_EQ(lab.line().type, "answer");
+  lab.receive(lab.s0, server_bye(kId, 16) + noise);
+  const jsonl::Message told = lab.line();
+  CHECK_EQ(told.type, "release");
+  CHECK_EQ(told.id, kId);
+  CHECK(!lab.dropped.empty() && lab.dropped[0] == lab.s0);  // nothing more can be read there
+
+  // A refusal too: that set-up has its end, and is not in doubt.
+  Ready other;
+  other.receive(kCaller, set_up(kId, 3000));
+  other.receive(other.s0, server_answer(other.invite(other.s0), 503, "") + noise);
+  other.pass(100ms);
+  CHECK_EQ(other.messages(other.s1).at(0).header("Call-ID"), kId);
+}
+
 // A second copy, or an answer under an unknown id, whatever it holds: what is good beside it is used.
 void more_than_belongs_to_an_answer_is_passed_over() {
   Ready lab;
@@ -757,6 +781,7 @@
   the_end_of_a_call_may_come_on_the_connection_of_an_earlier_attempt();
   a_silent_connection_is_noticed_by_what_it_owes();
   a_spoilt_answer_ends_its_connection();
+  a_release_just_ahead_of_noise_is_told();
   more_than_belongs_to_an_answer_is_passed_over();
   an_answer_that_was_lost_shows_in_the_release();
   a_connection_that_is_not_told_what_others_are_is_closed();
