Open the relay's ports again, and let graniterunctl fleet read a first answer

Seen: the process test stood still with every gatekeeper alone: the relay had closed each port that refused before its process had started, and nobody could reach an open one. Change: closed ports are tried again after 50 ms; Ctl::take starts from an empty list; the loops hold their answer.

--- a/lab/fleet_rig.cpp
+++ b/lab/fleet_rig.cpp
@@ -79,6 +79,11 @@
       if ((polls[i].revents & POLLIN) != 0) take(i);
     }
     look_at_refusals();
+    // Tried again before long: a process that refused may only not have started yet, and where all ports are
+    // closed nobody could be heard any more.
+    for (Side& side : sides_) {
+      if (side.fd < 0 && Steady::now() - side.closed > 50ms) open(side);
+    }
     while (!held_.empty() && held_.begin()->first <= Steady::now()) {
       const Held h = std::move(held_.begin()->second);
       held_.erase(held_.begin());
@@ -150,7 +155,7 @@
   ++counts_.passed;
 }
 
-// The process behind a port is gone: the port refuses too, until it speaks again.
+// The process behind a port is gone: the port refuses too, until it speaks again or for 50 ms.
 void Relay::look_at_refusals() {
   for (int i = 0; i < 256; ++i) {
     sockaddr_in to{};
@@ -165,6 +170,7 @@
       if (side.real != ntohs(to.sin_port) || side.fd < 0) continue;
       ::close(side.fd);
       side.fd = -1;
+      side.closed = Steady::now();
       ++counts_.refused;
     }
   }
--- a/lab/fleet_rig.h
+++ b/lab/fleet_rig.h
@@ -57,6 +57,7 @@
     int real{};
     int port{};
     int fd = -1;
+    Steady::time_point closed{};
   };
   struct Held {
     std::size_t from{};
--- a/src/control/ctl.cpp
+++ b/src/control/ctl.cpp
@@ -174,7 +174,7 @@
   }
   if (asks_fleet()) {
     if (line.value("re", json("")) != "fleet") return;
-    json members = t.told.value("members", json::array());
+    json members = t.told.is_object() ? t.told.value("members", json::array()) : json::array();
     for (const json& m : line.value("members", json::array())) members.push_back(m);
     t.told = line;
     t.told["members"] = std::move(members);
--- a/tests/fleet_process_test.cpp
+++ b/tests/fleet_process_test.cpp
@@ -41,7 +41,8 @@
   return count;
 }
 std::uint64_t life_of(const Rig& rig, std::size_t i) {
-  for (const json& m : rig.ask(i, "members")["members"]) {
+  const json view = rig.ask(i, "members");
+  for (const json& m : view["members"]) {
     if (m["self"] == true) return m["life"].get<std::uint64_t>();
   }
   return 0;
@@ -127,7 +128,8 @@
   cut.cut = true;
   rig.relay().link(1, 4, cut);
   CHECK(Rig::until(kPatience, [&] {
-    for (const json& m : rig.ask(1, "members")["members"]) {
+    const json view = rig.ask(1, "members");
+    for (const json& m : view["members"]) {
       if (m["name"] == "n4") return m["reach"] == "through-others" && m["state"] == "alive";
     }
     return false;
