Share one way to take a doubt off a record, and drop a time that nobody reads

Found on a second reading of membership: learn() wrote the same copy of a record twice, and Twin::began was set and never read. Behaviour is as it was.

--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -53,6 +53,13 @@
   return XXH3_64bits(text.data(), text.size());
 }
 
+// As it was before it was doubted.
+Record undoubted(Record r) {
+  r.state = State::alive;
+  r.accuser.clear();
+  return r;
+}
+
 std::string ms_text(Duration d) {
   return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(d).count()) + " ms";
 }
@@ -530,9 +537,7 @@
     if (r.member() && !make_room()) return drop(Drop::full);
     if (!r.member() && peers_.size() >= 2 * kMostMembers) return;
     if (r.state == State::suspect) {
-      Record alive = r;
-      alive.state = State::alive;
-      alive.accuser.clear();
+      const Record alive = undoubted(r);
       Peer& fresh = enter(now, alive);
       happened(now, What::joined, alive, "told");
       return doubt(now, fresh, r);
@@ -573,9 +578,7 @@
       return;
     case State::suspect:
       if (newer_life || !before.member()) {
-        Record alive = r;
-        alive.state = State::alive;
-        alive.accuser.clear();
+        const Record alive = undoubted(r);
         hold(now, *p, alive);
         happened(now, What::joined, alive, "told");
       }
@@ -701,7 +704,6 @@
   if (yielded_ || twin_) return;
   twin_.emplace();
   twin_->record = r;
-  twin_->began = now;
 }
 
 void Membership::look_at_twin(Time now) {
@@ -710,7 +712,7 @@
     if (!twin_) {
       twin_.emplace();
       twin_->record = *yielded_;
-      twin_->began = twin_->asked = now;
+      twin_->asked = now;
       return;
     }
     if (now - twin_->asked < kYieldLook) return;
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -220,7 +220,6 @@
   struct Twin {  // another process that may have this one's name
     Record record{};
     std::uint64_t token{};
-    Time began{};
     Time asked{};
     int tries = 0;
   };
