Grant a cold server what it answers, beside its part of what the settings allow

Cause: at both deployments calls were refused while a server that had just started stood idle. At fault is ColdGuard::admits, whose turns come from the settings alone (src/controller.cpp), and Broker::may_send after it. Ruled out: the throttle (waits there are under D_B all the while), lines (plenty), the list (told at 1.3 s).

Change: turns are two fifths of the rule's budget by the settings and two fifths of its multiple for each set-up answered within the last window; only the settings' part is saved up. The broker's own bound takes what stood within the window where that is more.

--- a/src/controller.cpp
+++ b/src/controller.cpp
@@ -72,9 +72,9 @@
 constexpr Duration kFaultTry = 500ms;
 // So often a call is tried again after a fault.
 constexpr std::size_t kFaultRepeats = 2;
-// Part of the cold budget that is spent right after a start: repeats count too, and the parts of two windows
-// may meet. It grows to the whole when the server must be warm, which is safe even if it warms only then.
-constexpr double kColdSafety = 0.5;
+// Part of the cold budget that is granted by the settings, and as much again by what the server answers: the
+// rest is for turns that were saved.
+constexpr double kColdPart = 0.4;
 // Told rates are late and noisy: so much of one is believed of a cold server.
 constexpr double kToldRateBelief = 0.8;
 
@@ -290,22 +290,26 @@
 // ---- Cold guard
 
 // Keeps what all senders send to a core server that has just started within the budget (multiple x present
-// capacity x window). Each sender is granted its equal part, a turn for each whole set-up of it, and a turn
-// not used within a window is lost. In a large fleet the part is less than one set-up a window, and one at
-// least from each would be several times the budget: a turn then comes once in several windows, at another
-// time for each sender, by its place among them. Covers every way of starting (replaced, crashed, added) and
-// needs no word from the others.
+// capacity x window). Each sender is granted its equal part of what the settings allow at the start, a turn
+// for each whole set-up of it, and a turn not used within a window is lost; and a part of the multiple for
+// each set-up that it saw answered within the last window: all answers together are no more than the server
+// can do, however it warms. In a large fleet the part is less than one set-up a window, and one at least from
+// each would be several times the budget: a turn then comes once in several windows, at another time for each
+// sender, by its place among them. Covers every way of starting (replaced, crashed, added) and needs no word
+// from the others.
 class ColdGuard {
  public:
   void sent() {
     if (!turns_.empty()) turns_.pop_front();
   }
+  void answered(Time now) { answered_.push_back(now); }
   bool admits(Time now, Time online_since, const Settings& settings, double cold_capacity_per_s) {
     const double senders = std::max(1U, settings.senders);
-    const double warmed = seconds(now - online_since) / std::max(seconds(settings.cold_time), 1e-3);
-    const double spent = kColdSafety + (1.0 - kColdSafety) * std::clamp(warmed, 0.0, 1.0);
-    const double turns_per_s =
-        std::max(spent * settings.fall_multiple * cold_capacity_per_s / senders, kLeastTurnsPerS);
+    const double window_s = std::max(seconds(settings.fall_window), 1e-3);
+    while (!answered_.empty() && now - answered_.front() > settings.fall_window) answered_.pop_front();
+    const double spent = kColdPart * settings.fall_multiple;
+    const double own_per_s = std::max(spent * cold_capacity_per_s / senders, kLeastTurnsPerS);
+    const double turns_per_s = own_per_s + spent * static_cast<double>(answered_.size()) / window_s;
     if (!granted_until_) {
       granted_until_ = online_since;
       credit_ = settings.own_index / senders;
@@ -313,9 +317,9 @@
     credit_ += turns_per_s * std::max(0.0, seconds(now - *granted_until_));
     granted_until_ = now;
 
-    // Turns of longer than a window ago are lost, and where there are many no more than half a window's are
-    // kept: senders that were idle must not bring theirs all at once.
-    const double part = turns_per_s * seconds(settings.fall_window);
+    // Turns of longer than a window ago are lost, and where there are many no more than half a window's own
+    // part is kept: senders that were idle must not bring theirs all at once.
+    const double part = own_per_s * window_s;
     credit_ = std::min(credit_, 1.0 + part);
     for (; credit_ >= 1.0; credit_ -= 1.0) turns_.push_back(now - lasting(credit_ - 1.0, turns_per_s));
     while (!turns_.empty() && (now - turns_.front() > settings.fall_window ||
@@ -331,7 +335,8 @@
   }
   // One in some hours: no division by nought for a server of which nothing is known.
   static constexpr double kLeastTurnsPerS = 1e-4;
-  std::deque<Time> turns_;  // granted and not used, by the time of the grant
+  std::deque<Time> answered_;  // within the last window
+  std::deque<Time> turns_;     // granted and not used, by the time of the grant
   std::optional<Time> granted_until_;
   double credit_ = 0.0;
 };
@@ -595,6 +600,7 @@
       note_answer(*server, e.delay);
       server->faults.ended(false);
       server->throttle.taken(now_);
+      if (server->cold(now_, settings_)) server->cold_guard.answered(now_);
       places_[server->entry.pool].taken(now_);
     }
   }
--- a/src/core/broker.cpp
+++ b/src/core/broker.cpp
@@ -136,6 +136,10 @@
   ++standing_;
   const ServerId server = call->out->server;
   const Duration delay = now_ - call->out->sent_at;
+  if (Server& at = servers_[server]; !is_warm(at)) {
+    keep_window(at.stood);
+    at.stood.push_back(now_);
+  }
   record(*call, {});
   answer(*call, true, false, Why::ended, {}, e.description);
   tell_module(CallStands{e.call, e.attempt, server, delay});
@@ -340,8 +344,13 @@
   tell_module(ended);
 }
 
-// In service, and a cold one not beyond what this gatekeeper's own part of its warm load allows: the module
-// spends less than that, so this binds only where it errs.
+void Broker::keep_window(std::deque<Time>& times) const {
+  while (!times.empty() && now_ - times.front() > settings_.fall_window) times.pop_front();
+}
+
+// In service, and a cold one not beyond what this gatekeeper's own part of its warm load allows, or what it
+// has just answered here, if that is more: it has warmed as far at least. The module spends less than that,
+// so this binds only where it errs.
 bool Broker::may_send(ServerId id, std::string_view& why_not) {
   const auto it = servers_.find(id);
   if (it == servers_.end() || it->second.state != ServerState::in_service) {
@@ -349,13 +358,14 @@
     return false;
   }
   Server& server = it->second;
-  while (!server.sends.empty() && now_ - server.sends.front() > settings_.fall_window)
-    server.sends.pop_front();
+  keep_window(server.sends);
   const auto recent = static_cast<double>(server.sends.size());
   if (is_warm(server)) return true;
   double busiest = 0.0;
   for (const auto& [other, s] : servers_) busiest = std::max(busiest, s.busiest);
-  if (recent < std::max(kColdLeast, settings_.fall_multiple * settings_.cold_share * busiest)) return true;
+  keep_window(server.stood);
+  const double can_do = std::max(settings_.cold_share * busiest, static_cast<double>(server.stood.size()));
+  if (recent < std::max(kColdLeast, settings_.fall_multiple * can_do)) return true;
   why_not = "broker.sends_barred.cold";
   return false;
 }
--- a/src/core/broker.h
+++ b/src/core/broker.h
@@ -225,6 +225,7 @@
     ServerState state{};
     std::optional<Time> online_since{};
     std::deque<Time> sends{};  // within the last window
+    std::deque<Time> stood{};  // set-ups that stood there within the last window, while it was cold
     double busiest = 0.0;      // the most sends within a window while it was warm
   };
   struct Alarm {
@@ -259,6 +260,7 @@
   void give_up_attempt(Call& call);
   void not_sent(Call& call, int index, ServerId server);
   bool may_send(ServerId server, std::string_view& why_not);
+  void keep_window(std::deque<Time>& times) const;
   bool is_warm(const Server& server) const {
     return !server.online_since || now_ >= *server.online_since + settings_.cold_time;
   }
