Set the throttle's C to the design's 1 s and its budget to 100 ms

Cause: with C at 500 ms the senders of a pressed server stop and come back together. At fault: kWaitScale and kWaitBudget in src/controller.cpp. A closed-loop model of 6 senders at a slow server without repeats did not tell the values apart and was dropped; the test holds the law itself: about half of the calls are sent at half of C over the budget (15 offered, 1 sent before).

--- a/src/controller.cpp
+++ b/src/controller.cpp
@@ -24,9 +24,10 @@
 // processor jammed for good.
 constexpr Duration kFloorInterval = 600ms;
 // D_B, of a delay that holds two waits: set-up and answer queue in turn.
-constexpr Duration kWaitBudget = 150ms;
-// C: so far beyond D_B the target is nought.
-constexpr Duration kWaitScale = 500ms;
+constexpr Duration kWaitBudget = 100ms;
+// C: so far beyond D_B the target is nought. Half of it made senders of a slow server stop and return
+// together.
+constexpr Duration kWaitScale = 1s;
 // Smoothing of own rates: over so long at least, and over so many events while that is no longer than the
 // most. One of hundreds of senders sees a core server's events seconds apart.
 constexpr Duration kRateMemory = 2s;
--- a/tests/controller_test.cpp
+++ b/tests/controller_test.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <deque>
+#include <utility>
 
 #include "harness.h"
 
@@ -229,6 +230,26 @@
   EXPECT_EQ(offer(script, 5s, 1ms, 50, 100).refused, 0);
 }
 
+// With C at half a second all senders of a server with that wait stopped, and came back together later.
+TEST(Throttle, LeavesAboutHalfAtHalfOfCOverTheBudget) {
+  Script script(settings_with());
+  script.list(0s, {entry(0)});
+  stand(script, 0s, 100ms, 60, 1, 0, 40ms);  // ten a second are taken
+  constexpr Duration kDelay = 640ms;         // 600 ms of them are a wait
+  std::deque<std::pair<Duration, unsigned>> out;
+  int sent = 0;
+  for (unsigned i = 0; i < 60; ++i) {
+    const Duration now = 6s + i * 100ms;
+    for (; !out.empty() && out.front().first + kDelay <= now; out.pop_front())
+      script.stands(out.front().first + kDelay, out.front().second, 0, kDelay);
+    if (!has<SendSetUp>(script.call(now, 1000 + i, 0, 0, 1000 + i))) continue;
+    out.emplace_back(now, 1000 + i);
+    if (i >= 10 && i < 25) ++sent;  // with the wait known, and its own rate not yet down by it
+  }
+  EXPECT_GE(sent, 4);
+  EXPECT_LE(sent, 11);
+}
+
 TEST(Throttle, RefusesWhenTheOnlyServerIsSilent) {  // silence is no good news
   Script script(settings_with());
   script.list(0s, {entry(0)});
