Hand the wait that a full server tells to the decisions, over both kinds of connections

Change: wait_told reads it, whole milliseconds up to a minute, else none and the refusal counts all the same; AttemptOver carries it to the module.

--- a/src/back/setup_servers.cpp
+++ b/src/back/setup_servers.cpp
@@ -40,6 +40,9 @@
 // How much later than on another connection a state may be told.
 constexpr Duration kToldSlack = 100ms;
 
+// What a full processor may say of its wait; more is no wait that any caller would see the end of.
+constexpr std::chrono::milliseconds kLongestWait = 60s;
+
 constexpr int kNormal = 16;  // causes of Q.850
 constexpr int kCut = 41;
 
@@ -112,6 +115,14 @@
   return FullReason::none;
 }
 
+std::optional<Duration> wait_told(const sip::Message& m) {
+  const std::string_view text = m.header("P-Wait");
+  std::uint32_t ms = 0;
+  const auto [stop, error] = std::from_chars(text.data(), text.data() + text.size(), ms);
+  if (error != std::errc{} || stop != text.data() + text.size() || ms > kLongestWait.count()) return {};
+  return std::chrono::milliseconds(ms);
+}
+
 LoadReport report_of(const sip::Message& m) {
   LoadReport report;
   std::string_view rest = m.header("P-Load");
@@ -657,6 +668,7 @@
   if (leg.state == LegState::sent || leg.state == LegState::abandoned) {
     ended.outcome = leg.state == LegState::abandoned ? Outcome::cancelled : outcome_of(m.status);
     ended.reason = reason_of(m.header("Warning-Word"));
+    if (ended.outcome == Outcome::full) ended.told_wait = wait_told(m);
     // What is busy is the number, wherever it is tried; any other error may be the server's own.
     if (m.status == 486 && ended.reason == FullReason::none) ended.reason = FullReason::number_busy;
     over(leg, ended, out);
--- a/src/back/setup_servers.h
+++ b/src/back/setup_servers.h
@@ -136,5 +136,7 @@
 LoadReport report_of(const sip::Message& m);  // in P-Load
 int cause_in(std::string_view reason);        // in a Reason header
 FullReason reason_of(std::string_view word);  // in Warning-Word
+// In P-Wait: how long a full processor says its wait is. Whole milliseconds, a minute at most; else none.
+std::optional<Duration> wait_told(const sip::Message& m);
 
 }  // namespace graniterun::back
--- a/src/core/broker.cpp
+++ b/src/core/broker.cpp
@@ -117,7 +117,7 @@
   if (!call->out || !call->out->stands) return on(CallerGaveUp{e.call});
   counters_.add("broker.released_by_caller");
   emit(ReleaseServer{call->request, call->out->index, e.cause});
-  on(AttemptOver{e.call, call->out->index, Outcome::cancelled, {}, {}, e.cause, false});
+  on(AttemptOver{e.call, call->out->index, Outcome::cancelled, {}, {}, e.cause, false, {}});
 }
 
 // ---- servers
@@ -130,7 +130,7 @@
     counters_.add("broker.stood_too_late");
     call->out->abandoned = true;
     emit(ReleaseServer{call->request, e.attempt, 16});
-    return on(AttemptOver{e.call, e.attempt, Outcome::cancelled, {}, {}, 16, true});
+    return on(AttemptOver{e.call, e.attempt, Outcome::cancelled, {}, {}, 16, true, {}});
   }
   call->out->stands = true;
   ++standing_;
@@ -170,6 +170,7 @@
   ended.delay = now_ - out.sent_at;
   ended.call_over = call->answered;
   ended.reason = e.reason;
+  ended.told_wait = e.told_wait;
   ended.report = e.report;
   tell_module(ended);
   settle_module();
--- a/src/core/broker.h
+++ b/src/core/broker.h
@@ -83,8 +83,9 @@
   Outcome outcome{};
   FullReason reason{};
   LoadReport report{};
-  int cause{};           // of a standing call's end
-  bool crossed = false;  // the server's success crossed our giving up; it has been released
+  int cause{};                          // of a standing call's end
+  bool crossed = false;                 // the server's success crossed our giving up; it has been released
+  std::optional<Duration> told_wait{};  // by a full processor
 };
 // A server released a call whose attempt there is over already, or was never known here.
 struct ServerReleased {
--- a/tests/broker_test.cpp
+++ b/tests/broker_test.cpp
@@ -204,6 +204,28 @@
   }
 }
 
+// A full processor's own word of its wait once ended at the socket, and the module took 2 s for granted.
+void the_wait_that_a_full_server_tells_reaches_the_module() {
+  std::optional<Duration> told;
+  const auto listen = [&](Time now, const Event& event, std::vector<Action>& actions) {
+    if (const auto* e = std::get_if<NewCall>(&event))
+      actions.push_back(SendSetUp{e->call, ServerId{0}, now + 5s});
+    if (const auto* e = std::get_if<AttemptEnded>(&event)) told = e->told_wait;
+  };
+  Counters counters;
+  core::Broker broker(config_for_tests().settings, listen, core::Contracts{}, counters);
+  core::Effects effects;
+  broker.step(kStart, servers({server(0, ServerState::in_service)}), effects);
+  broker.step(kStart, request(1, kStart + 5s), effects);
+  core::AttemptOver over;
+  over.call = core::call_id(core::Front::platform, 1);
+  over.outcome = Outcome::full;
+  over.reason = FullReason::processor;
+  over.told_wait = 2900ms;
+  broker.step(kStart + 30ms, over, effects);
+  CHECK(told == Duration(2900ms));
+}
+
 // Held to its first four a window, a cold server that answers at once once stayed idle until it counted as
 // warm.
 void cold_servers_get_more_once_they_answer() {
@@ -283,6 +305,7 @@
 
 int main() {
   a_module_gone_wild_breaks_no_rule();
+  the_wait_that_a_full_server_tells_reaches_the_module();
   cold_servers_get_more_once_they_answer();
   budgets_are_kept_and_fill_again();
   the_example_deploy_file_is_read();
