Notice a second silent connection in time, and ask anew for releases told to a silent one

Change: 400 ms where the new connection owes; a connection that is no longer used, silent for 300 ms and with calls standing on it is dropped and one opened for its news. Each has a test that fails when it is taken out.

--- a/src/back/setup_servers.cpp
+++ b/src/back/setup_servers.cpp
@@ -20,6 +20,8 @@
 constexpr Duration kSuspicious = 1200ms;
 // It is tried sooner when a set-up has been unanswered for so long and nothing else has come either.
 constexpr Duration kSuspiciousUnanswered = 600ms;
+// Where the connection that was opened in doubt owes answers as well, the next one follows after so long.
+constexpr Duration kDoubtedAgain = 400ms;
 // Sooner where its answers are known: at a multiple of the slowest of late, but not before this.
 constexpr Duration kLeastSuspicious = 100ms;
 constexpr int kAnswersKnown = 8;  // so many answers tell how slow it is
@@ -307,14 +309,17 @@
   spoilt(now, conn, out);
 }
 
+bool SetupServers::calls_stand_on(const Server& server, std::uint32_t conn) const {
+  return std::any_of(server.legs.begin(), server.legs.end(), [&](const LegKey& key) {
+    const Leg& leg = legs_.at(key);
+    return leg.state == LegState::stands && leg.conn == conn;
+  });
+}
+
 void SetupServers::spoilt(Time now, std::uint32_t conn, Outbox& out) {
   const auto it = connections_.find(conn);
   Server* server = it == connections_.end() ? nullptr : find(it->second.server);
-  const bool stood_there =
-      server != nullptr && std::any_of(server->legs.begin(), server->legs.end(), [&](const auto& k) {
-        const Leg& leg = legs_.at(k);
-        return leg.state == LegState::stands && leg.conn == conn;
-      });
+  const bool stood_there = server != nullptr && calls_stand_on(*server, conn);
   // At once: while it was still read until the other side ended it, a server went on to tell releases on it,
   // and they were dropped.
   out.drop({net::Concern::server, conn});
@@ -330,13 +335,16 @@
 void SetupServers::look_after(Time now, Server& server, Outbox& out) {
   if (server.host.state == ServerState::terminated) return;
   const bool has_calls = !server.legs.empty();
-  const bool silent = has_calls && (now - server.heard > kSuspicious || owes(now, server));
+  const bool owing = owes(now, server);
+  const bool silent = has_calls && (now - server.heard > kSuspicious || owing);
   const bool wanted = server.host.state == ServerState::in_service || has_calls;
   if (wanted && !server.connecting && now >= server.next_connect &&
       (!server.current || (silent && connections_to(server.id) < kMostConnections))) {
     connect(now, server, out);
-    // One that is alive and has nothing to say is not asked all the time.
-    if (server.current) server.next_connect = now + kSuspicious;
+    // One that is alive and has nothing to say is not asked all the time. One that owes may fall silent on
+    // the new connection too: asked again no sooner than that, it once had releases to tell for longer than
+    // the 1 s in which callers are to hear of them.
+    if (server.current) server.next_connect = now + (owing ? kDoubtedAgain : kSuspicious);
   }
   if (has_calls && server.unreachable_since) {
     const Duration unreachable = now - *server.unreachable_since;
@@ -404,13 +412,18 @@
   }
   // Connections that are not the server's current one go once nothing is awaited on them.
   std::vector<std::uint32_t> idle;
+  std::vector<std::uint32_t> silent;
   for (const auto& [number, c] : connections_) {
     Server* server = find(c.server);
     if (!c.up || (server != nullptr && server->current == number)) continue;
-    if (c.for_news && now - c.heard < kNewsWithin) continue;
-    if (c.unanswered.empty()) idle.push_back(number);
+    const bool quiet = now - c.heard >= kNewsWithin;
+    if ((c.for_news && !quiet) || !c.unanswered.empty()) continue;
+    // It was doubted and has said nothing since: releases of the calls that stand there may have been told to
+    // it. Closed half, with none opened for them, they were lost.
+    (quiet && server != nullptr && calls_stand_on(*server, number) ? silent : idle).push_back(number);
   }
   for (const std::uint32_t number : idle) let_go(now, number, false, out);
+  for (const std::uint32_t number : silent) spoilt(now, number, out);
 }
 
 // Standing calls that a server can have no more: all of them, or those that stood before it started anew.
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -245,6 +245,54 @@
 
 // Where the next message could still be found, the connection was kept, and what was sent on it got no
 // answer.
+// The connection opened in doubt fell silent at once as well, and the next one came 1.2 s later: what the
+// server had released meanwhile was told to its callers after more than the 1 s that they are owed.
+void a_second_silent_connection_is_noticed_in_time() {
+  Ready lab(1);
+  lab.receive(kCaller, set_up());
+  lab.receive(lab.s0, server_answer(lab.invite(lab.s0), 200, "a"));
+  lab.messages(lab.s0);
+  lab.lines(kCaller);
+  const auto call_until_doubted = [&](int from) {  // calls come all the time and none is answered
+    Duration waited{};
+    for (int i = from; lab.connects.empty() && waited < 3s; ++i, waited += 50ms) {
+      lab.receive(kCaller, set_up("00000000000000" + std::to_string(i), 4000));
+      lab.pass(50ms);
+    }
+    return waited;
+  };
+  call_until_doubted(10);
+  CHECK_EQ(lab.connects.size(), 1U);
+  lab.bring_up();  // silent too
+  CHECK(call_until_doubted(40) <= 900ms);
+  const ConnId third = lab.connects.at(0).conn;
+  lab.bring_up();
+  lab.lines(kCaller);
+  lab.receive(third, server_bye(kId, 16));
+  CHECK_EQ(lab.line().type, "release");
+}
+
+// The set-ups that a doubted connection owed were given up by their callers, and it went half closed:
+// releases that the server had written there meanwhile were told nowhere.
+void a_silent_connection_where_calls_stand_is_told_about_anew() {
+  Ready lab(1);
+  lab.receive(kCaller, set_up());
+  lab.receive(lab.s0, server_answer(lab.invite(lab.s0), 200, "a"));
+  lab.messages(lab.s0);
+  lab.lines(kCaller);
+  lab.receive(kCaller, set_up("00000000000000bb", 900));  // never answered
+  while (lab.connects.empty()) lab.pass(50ms);
+  lab.bring_up();
+  lab.pass(1s);  // its caller has left
+  CHECK_EQ(std::count(lab.dropped.begin(), lab.dropped.end(), lab.s0), 1);
+  CHECK_EQ(lab.connects.size(), 1U);
+  const ConnId news = lab.connects.at(0).conn;
+  lab.bring_up();
+  lab.lines(kCaller);
+  lab.receive(news, server_bye(kId, 16));
+  CHECK_EQ(lab.line().type, "release");
+}
+
 void a_spoilt_answer_ends_its_connection() {
   const std::string head = "\r\nCall-ID: " + kId + "\r\nCSeq: 1 INVITE\r\nContent-Length: ";
   const std::string spoilt[] = {
@@ -803,6 +851,8 @@
   a_further_attempt_at_the_same_server_is_answered();
   the_end_of_a_call_may_come_on_the_connection_of_an_earlier_attempt();
   a_silent_connection_is_noticed_by_what_it_owes();
+  a_second_silent_connection_is_noticed_in_time();
+  a_silent_connection_where_calls_stand_is_told_about_anew();
   a_spoilt_answer_ends_its_connection();
   a_release_just_ahead_of_noise_is_told();
   more_than_belongs_to_an_answer_is_passed_over();
