Open a connection for news wherever one is let go on which calls may be told

At fault: on(TimerFired) let go of what owes no set-up without asking for calls whose own connection is gone, and on(Received) reads nothing of what was let go, so that even on a sound one a release on its way was lost. Ruled out by the trace: no BYE of that call on any connection, none read and not told, callers' side whole (all told heard).

Change: where a call stands on it or on no open connection, what is let go is dropped and one opened for news; that one is kept while such calls stand and replaced after 0.6 s of silence; one for news a server, beside the three. An older test expected the fault (closed while seven such calls stood) and now releases them first.

--- a/src/back/setup_servers.cpp
+++ b/src/back/setup_servers.cpp
@@ -27,9 +27,11 @@
 constexpr int kAnswersKnown = 8;  // so many answers tell how slow it is
 // An answer to a set-up sent so much later than one that another connection owes has overtaken it.
 constexpr Duration kOvertaken = 100ms;
-constexpr std::size_t kMostConnections = 3;  // to a server
+constexpr std::size_t kMostConnections = 3;  // to a server, and one for news
 // So long after the last word a connection that was opened for news is kept.
 constexpr Duration kNewsWithin = 300ms;
+// While calls stand that may be told of there, it is kept; silent for so long, another one takes its place.
+constexpr Duration kNewsSilent = 600ms;
 // After so long without a byte and without a connection its calls are taken to be over (8 s are allowed).
 constexpr Duration kVanished = 5s;
 // A process that died refuses at once; a short restart is let pass.
@@ -309,17 +311,18 @@
   spoilt(now, conn, out);
 }
 
-bool SetupServers::calls_stand_on(const Server& server, std::uint32_t conn) const {
+// Whether a call stands there, or on a connection that is gone: a server tells of those on any other.
+bool SetupServers::may_be_told_on(const Server& server, std::uint32_t conn) const {
   return std::any_of(server.legs.begin(), server.legs.end(), [&](const LegKey& key) {
     const Leg& leg = legs_.at(key);
-    return leg.state == LegState::stands && leg.conn == conn;
+    return leg.state == LegState::stands && (leg.conn == conn || !connections_.contains(leg.conn));
   });
 }
 
 void SetupServers::spoilt(Time now, std::uint32_t conn, Outbox& out) {
   const auto it = connections_.find(conn);
   Server* server = it == connections_.end() ? nullptr : find(it->second.server);
-  const bool stood_there = server != nullptr && calls_stand_on(*server, conn);
+  const bool stood_there = server != nullptr && may_be_told_on(*server, conn);
   // At once: while it was still read until the other side ended it, a server went on to tell releases on it,
   // and they were dropped.
   out.drop({net::Concern::server, conn});
@@ -328,7 +331,13 @@
   look_after(now, *server, out);
   // A release that went there unread is told again on the next connection opened, and only there: with
   // another one in use already none was opened, and the caller was never told.
-  if (stood_there && server->current && !server->connecting) connect(now, *server, out, true);
+  if (!stood_there || !server->current || server->connecting) return;
+  std::vector<std::uint32_t> before;  // one for news is enough, and what it missed is told on the new one
+  for (const auto& [number, c] : connections_) {
+    if (c.for_news && c.server == server->id && server->current != number) before.push_back(number);
+  }
+  for (const std::uint32_t number : before) let_go(now, number, false, out);
+  connect(now, *server, out, true);
 }
 
 // Keeps a server in reach, and finds out that it has vanished or died.
@@ -384,8 +393,9 @@
 }
 
 std::size_t SetupServers::connections_to(ServerId server) const {
-  return static_cast<std::size_t>(std::count_if(connections_.begin(), connections_.end(),
-                                                [&](const auto& c) { return c.second.server == server; }));
+  return static_cast<std::size_t>(std::count_if(connections_.begin(), connections_.end(), [&](const auto& c) {
+    return c.second.server == server && !c.second.for_news;
+  }));
 }
 
 void SetupServers::on(Time now, const net::TimerFired&, Outbox& out) {
@@ -411,19 +421,19 @@
     spoilt(now, number, out);
   }
   // Connections that are not the server's current one go once nothing is awaited on them.
+  // What is let go is not read any more. Calls that stand on it, or on none that is open, may be told of
+  // there: with no connection opened for them their releases were lost, whether it had fallen silent or not.
   std::vector<std::uint32_t> idle;
-  std::vector<std::uint32_t> silent;
+  std::vector<std::uint32_t> missed;
   for (const auto& [number, c] : connections_) {
     Server* server = find(c.server);
-    if (!c.up || (server != nullptr && server->current == number)) continue;
-    const bool quiet = now - c.heard >= kNewsWithin;
-    if ((c.for_news && !quiet) || !c.unanswered.empty()) continue;
-    // It was doubted and has said nothing since: releases of the calls that stand there may have been told to
-    // it. Closed half, with none opened for them, they were lost.
-    (quiet && server != nullptr && calls_stand_on(*server, number) ? silent : idle).push_back(number);
+    if (!c.up || !c.unanswered.empty() || (server != nullptr && server->current == number)) continue;
+    const bool told_here = server != nullptr && may_be_told_on(*server, number);
+    if (c.for_news && now - c.heard < (told_here ? kNewsSilent : kNewsWithin)) continue;
+    (told_here ? missed : idle).push_back(number);
   }
   for (const std::uint32_t number : idle) let_go(now, number, false, out);
-  for (const std::uint32_t number : silent) spoilt(now, number, out);
+  for (const std::uint32_t number : missed) spoilt(now, number, out);
 }
 
 // Standing calls that a server can have no more: all of them, or those that stood before it started anew.
--- a/src/back/setup_servers.h
+++ b/src/back/setup_servers.h
@@ -112,7 +112,7 @@
   void note_answer(Time now, std::uint32_t conn, Time sent, Outbox& out);
   void close_deaf(Time now, const Server& server, const std::vector<std::uint32_t>& deaf, Outbox& out);
   bool owes(Time now, const Server& server) const;
-  bool calls_stand_on(const Server& server, std::uint32_t conn) const;
+  bool may_be_told_on(const Server& server, std::uint32_t conn) const;
   std::optional<Time> oldest_unanswered(const Connection& c) const;
   std::size_t connections_to(ServerId server) const;
   void note_told(Time now, std::uint32_t conn, Outbox& out);
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -230,6 +230,8 @@
   lab.lines(kCaller);
   lab.receive(news, server_bye(id(0), 16));
   CHECK_EQ(lab.line().type, "release");
+  for (int i = 1; i < 8; ++i) lab.receive(news, server_bye(id(i), 16));  // while they stand it is kept
+  CHECK_EQ(lab.lines(kCaller).size(), 7U);
   lab.messages(next);
   lab.receive(kCaller, set_up(id(31)));
   CHECK_EQ(lab.invite(next).header("Call-ID"), id(31));
@@ -293,6 +295,39 @@
   CHECK_EQ(lab.line().type, "release");
 }
 
+// The server told of calls whose connection was gone on the one that had been opened for their news. That one
+// fell silent, was let go after 0.3 s, and none was opened: a release told there meanwhile was lost.
+void news_that_falls_silent_is_asked_for_anew() {
+  Ready lab(1);
+  lab.receive(kCaller, set_up());
+  lab.receive(lab.s0, server_answer(lab.invite(lab.s0), 200, "a"));
+  lab.messages(lab.s0);
+  lab.receive(kCaller, set_up("00000000000000bb", 4000));  // owed
+  for (int i = 0; i < 40 && lab.connects.empty(); ++i) lab.pass(50ms);
+  const ConnId next = lab.connects.at(0).conn;
+  lab.bring_up();
+  lab.receive(lab.s0, "what is this\r\n\r\n");  // spoilt: the call that stands has no connection any more
+  lab.lines(kCaller);
+  for (int round = 0; round < 4; ++round) {  // each news connection is silent, and the next one soon opened
+    CHECK_EQ(lab.connects.size(), 1U);
+    lab.bring_up();
+    Duration waited{};
+    for (; lab.connects.empty() && waited < 3s; waited += 50ms) {
+      lab.pass(50ms);
+      lab.receive(next, "SIP/2.0 100 x\r\nCall-ID: x\r\nCSeq: 1 INVITE\r\nContent-Length: 0\r\n\r\n");
+    }
+    CHECK(waited >= 500ms && waited <= 700ms);
+  }
+  const ConnId last = lab.connects.at(0).conn;
+  lab.bring_up();
+  lab.lines(kCaller);  // that of the call that was owed
+  lab.receive(last, server_bye(kId, 16));
+  CHECK_EQ(lab.line().type, "release");
+  lab.messages(last);
+  lab.pass(700ms);  // nothing is left to be told
+  CHECK_EQ(std::count(lab.closed.begin(), lab.closed.end(), last), 1);
+}
+
 void a_spoilt_answer_ends_its_connection() {
   const std::string head = "\r\nCall-ID: " + kId + "\r\nCSeq: 1 INVITE\r\nContent-Length: ";
   const std::string spoilt[] = {
@@ -853,6 +888,7 @@
   a_silent_connection_is_noticed_by_what_it_owes();
   a_second_silent_connection_is_noticed_in_time();
   a_silent_connection_where_calls_stand_is_told_about_anew();
+  news_that_falls_silent_is_asked_for_anew();
   a_spoilt_answer_ends_its_connection();
   a_release_just_ahead_of_noise_is_told();
   more_than_belongs_to_an_answer_is_passed_over();
