Let no connection go while a message that came on it is at work

Change: nothing is let go there; a server has three connections for news at most. Not yet covered by a test of its own.

--- a/src/back/setup_servers.cpp
+++ b/src/back/setup_servers.cpp
@@ -27,7 +27,8 @@
 constexpr int kAnswersKnown = 8;  // so many answers tell how slow it is
 // An answer to a set-up sent so much later than one that another connection owes has overtaken it.
 constexpr Duration kOvertaken = 100ms;
-constexpr std::size_t kMostConnections = 3;  // to a server, and one for news
+constexpr std::size_t kMostConnections = 3;  // to a server
+constexpr std::ptrdiff_t kMostForNews = 3;   // beside them; each is replaced or goes by itself
 // So long after the last word a connection that was opened for news is kept.
 constexpr Duration kNewsWithin = 300ms;
 // While calls stand that may be told of there, it is kept; silent for so long, another one takes its place.
@@ -332,11 +333,11 @@
   // A release that went there unread is told again on the next connection opened, and only there: with
   // another one in use already none was opened, and the caller was never told.
   if (!stood_there || !server->current || server->connecting) return;
-  std::vector<std::uint32_t> before;  // one for news is enough, and what it missed is told on the new one
-  for (const auto& [number, c] : connections_) {
-    if (c.for_news && c.server == server->id && server->current != number) before.push_back(number);
-  }
-  for (const std::uint32_t number : before) let_go(now, number, false, out);
+  // None is let go here to make room: a message that came on it may just be at work.
+  const auto for_news = std::count_if(connections_.begin(), connections_.end(), [&](const auto& c) {
+    return c.second.for_news && c.second.server == server->id;
+  });
+  if (for_news >= kMostForNews) return;
   connect(now, *server, out, true);
 }
 
