--- a/src/app/gatekeeper.cpp
+++ b/src/app/gatekeeper.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "config/descriptors.h"
 #include "management/telemetry.h"
 
 namespace graniterun {
@@ -10,12 +11,16 @@
 
 using namespace std::chrono_literals;
 
-// After SIGTERM requests still come for so long.
+// The protocol's words on a planned restart: after SIGTERM new connections keep coming for 0.4 s at most and
+// requests on open ones for 0.2 s more; SIGKILL comes no sooner than the longest deadline, counted as 3 s
+// where it is longer, and 0.7 s more.
 constexpr Duration kStillComing = 900ms;
 constexpr Duration kLook = 50ms;
-// The end comes no later than this after SIGTERM: the longest deadline counts as 3 s at most.
-constexpr Duration kLatestEnd = 3500ms;
-// With a successor: the longest deadline counts in full, and so long after it what stands is left to it.
+constexpr Duration kDeadlineCounted = 3s;
+constexpr Duration kKilledAfter = 700ms;
+// So long before that, what is still open is given up and answered, and half as long before it ends.
+constexpr Duration kAnswersWithin = 300ms;
+// With a successor: the longest deadline counts as 5 s at most; so long after it what stands is left to it.
 constexpr Duration kLatestDeadline = 5s;
 constexpr Duration kAfterDeadlines = 2s;
 
@@ -24,16 +29,12 @@
   using Fs::operator()...;
 };
 
-// Some descriptors are the program's own and the setup servers'.
-std::size_t most_callers(const PlatformConfig& config) {
-  return config.sockets > 128 ? config.sockets - 96 : config.sockets / 3 + 1;
-}
-
-front::PlatformFrontSettings platform_settings(const PlatformConfig& config,
+front::PlatformFrontSettings platform_settings(const PlatformConfig& config, const DeployConfig& deploy,
                                                const core::ClassTable& classes) {
   front::PlatformFrontSettings s;
   s.classes = classes.classes;
-  s.most_connections = most_callers(config);
+  const std::size_t most = descriptor_shares(config.sockets).callers;
+  s.most_connections = deploy.sip_tcp ? most - most / 2 : most;
   return s;
 }
 
@@ -44,7 +45,7 @@
   s.tcp = deploy.sip_tcp;
   s.classes = classes.classes;
   s.seed = config.seed;
-  s.most_connections = most_callers(config) / 2;
+  s.most_connections = descriptor_shares(config.sockets).callers / 2;
   s.load_control_from = deploy.load_control_from;
   return s;
 }
@@ -80,7 +81,7 @@
       control_(control_settings(config, deploy), counters_),
       fleet_(deploy.fleet.value_or(fleet::FleetSettings{}), counters_),
       broker_(config.settings, config.seed, core::Contracts(deploy.contracts), counters_, gate()),
-      platform_(platform_settings(config, classes_), counters_),
+      platform_(platform_settings(config, deploy, classes_), counters_),
       sip_(sip_settings(config, deploy, classes_), counters_),
       servers_(config.settings, config.areas, counters_),
       journal_(config.journal, config.known_position, counters_),
@@ -366,16 +367,32 @@
 }
 
 void Gatekeeper::finish_if_drained(Time now, Outbox& out) {
-  if (!stop_asked_ || now - *stop_asked_ < kStillComing) return;
+  if (!stop_asked_) return;
   const Duration asked_for = now - *stop_asked_;
-  if (config_.inherited) {
-    const bool over = broker_.unanswered() == 0 && broker_.standing() == 0 && platform_.connected() == 0;
-    if (!over && asked_for < kLatestDeadline + kAfterDeadlines) return;
-  } else if (broker_.unanswered() > 0 && asked_for < kLatestEnd) {
-    return;
+  Duration longest{};
+  for (const CallClass& c : classes_.places) longest = std::max(longest, c.patience);
+  const Duration counted = std::min(longest, config_.inherited ? kLatestDeadline : kDeadlineCounted);
+  const Duration answers_due = counted + kKilledAfter - kAnswersWithin;
+  // With a successor what stands is served to its end for a while; without one SIGKILL is near.
+  const Duration latest =
+      config_.inherited ? kLatestDeadline + kAfterDeadlines : answers_due + kAnswersWithin / 2;
+  // Nobody is left without an answer, however long the call might still have waited.
+  if (broker_.unanswered() > 0 && asked_for >= answers_due) {
+    out.log(net::Level::warning, std::to_string(broker_.unanswered()) + " requests are given up at the end");
+    out.tell(core::Stopping{});
+    settle(now, out);
   }
-  out.net.push_back(net::Print{counters_text()});
-  out.net.push_back(net::Exit{0});
+  if (asked_for >= latest) return finish(net::Exit{0}, out);
+  if (asked_for < std::min(kStillComing, answers_due)) return;
+  const bool over = broker_.unanswered() == 0 &&
+                    (!config_.inherited || (broker_.standing() == 0 && platform_.connected() == 0));
+  // Where something is left to write, or has come in this instant, it is looked again.
+  if (over) finish(net::ExitIfQuiet{0}, out);
+}
+
+void Gatekeeper::finish(const net::Effect& end, Outbox& out) {
+  if (!std::exchange(counters_told_, true)) out.net.push_back(net::Print{counters_text()});
+  out.net.push_back(end);
 }
 
 Counters Gatekeeper::all_counters() const {
--- a/src/app/gatekeeper.h
+++ b/src/app/gatekeeper.h
@@ -52,6 +52,7 @@
   void settle(Time now, Outbox& out);
   void apply(Time now, const core::Effect& effect, Outbox& out);
   void finish_if_drained(Time now, Outbox& out);
+  void finish(const net::Effect& end, Outbox& out);
   Counters all_counters() const;
   std::string counters_text() const;
 
@@ -73,6 +74,7 @@
   std::array<Step, net::kConcerns> parts_{};  // who is told of a concern's events
   management::Management management_;
   bool listening_ = false;  // for callers
+  bool counters_told_ = false;
   std::optional<Time> stop_asked_{};
 };
 
--- a/src/back/journal.cpp
+++ b/src/back/journal.cpp
@@ -13,6 +13,8 @@
 // A comment comes every second: after so long the connection is dead. What a service that stopped would have
 // told counts as told after 4 s; with the look and the time to connect this takes 3.45 s at most.
 constexpr Duration kSilence = 2200ms;
+// What has begun is whole within so long: comments may go on inside an event that never ends.
+constexpr Duration kWholeWithin = 2s;
 constexpr Duration kLook = 250ms;
 enum Timer : std::uint64_t { kReconnect, kWatch };
 
@@ -39,6 +41,7 @@
   head_.reset();
   body_.reset();
   text_.clear();
+  half_since_.reset();
   open_ = waiting_ = false;
   out.net.push_back(net::Connect{{net::Concern::journal, ++connections_}, address_, kConnectWithin});
 }
@@ -78,14 +81,20 @@
     return;
   }
   if (open_ && now - heard_ > kSilence) {  // a cut network gives no sign
-    out.log(net::Level::warning, "the journal service is silent: connecting again");
-    counters_.add("journal.reconnects");
-    out.close({net::Concern::journal, connections_});
-    connect(out);
+    renew("is silent", out);
+  } else if (open_ && half_since_ && now - *half_since_ > kWholeWithin) {
+    renew("does not end what it began", out);
   }
   out.arm(net::Concern::journal, kWatch, now + kLook);
 }
 
+void Journal::renew(std::string_view why, Outbox& out) {
+  out.log(net::Level::warning, "the journal service " + std::string(why) + ": connecting again");
+  counters_.add("journal.reconnects");
+  out.close({net::Concern::journal, connections_});
+  connect(out);
+}
+
 void Journal::on(Time now, const net::Received& e, Outbox& out) {
   if (!open_ || e.conn.number != connections_) return;
   heard_ = now;
@@ -93,7 +102,10 @@
   if (!head_) {
     http::Head head;
     const http::HeadState state = http::read_head(e.bytes, head);
-    if (state == http::HeadState::more) return;
+    if (state == http::HeadState::more) {
+      if (!half_since_) half_since_ = now;
+      return;
+    }
     if (state == http::HeadState::malformed || head.status != 200) {
       counters_.add("journal.malformed");
       out.log(net::Level::warning, "the journal service answers what can't be used");
@@ -111,21 +123,44 @@
     return;
   }
   out.net.push_back(net::Consume{e.conn, used + *taken});
+  bool any = false;
   while (const auto event = http::take_event(text_)) {
-    std::uint64_t position = 0;
-    std::from_chars(event->id.data(), event->id.data() + event->id.size(), position);
-    if (position != 0 && position <= position_) continue;  // told before
-    counters_.add("journal.events");
-    const auto data = nlohmann::json::parse(event->data, nullptr, false);
-    try {
-      if (data.is_object() && data.contains("hosts")) news_.push_back(read_hosts(data["hosts"]));
-      if (position != 0) position_ = position;
-    } catch (const BadConfig& trouble) {
-      counters_.add("journal.malformed");
-      out.log(net::Level::warning, trouble.what());
-    }
+    any = true;
+    if (!take(*event, out)) return drop(now, out);
   }
+  const bool half = !text_.empty() || used + *taken < e.bytes.size();
+  if (!half || any) half_since_.reset();
+  if (half && !half_since_) half_since_ = now;
   if (body_->done()) drop(now, out);
 }
 
+// False: it can't be read, and is to be asked for again. What is spoilt twice is the service's own word: it
+// is passed over, or nothing after it would ever be heard.
+bool Journal::take(const http::ServerSentEvent& event, Outbox& out) {
+  std::uint64_t position = 0;
+  std::from_chars(event.id.data(), event.id.data() + event.id.size(), position);
+  if (position != 0 && position <= position_) return true;  // told before
+  counters_.add("journal.events");
+  if (event.data.empty()) {  // it tells nothing but how far the service is
+    if (position != 0) position_ = position;
+    return true;
+  }
+  const auto data = nlohmann::json::parse(event.data, nullptr, false);
+  try {
+    if (!data.is_object()) throw BadConfig("an event of the journal is no JSON object");
+    if (data.contains("hosts")) news_.push_back(read_hosts(data["hosts"]));
+  } catch (const BadConfig& trouble) {
+    counters_.add("journal.malformed");
+    out.log(net::Level::warning, trouble.what());
+    const std::uint64_t wanted = position_;
+    if (asked_again_for_ != wanted) {
+      asked_again_for_ = wanted;
+      return false;
+    }
+    counters_.add("journal.events_passed_over");
+  }
+  if (position != 0) position_ = position;
+  return true;
+}
+
 }  // namespace graniterun::back
--- a/src/back/journal.h
+++ b/src/back/journal.h
@@ -31,6 +31,8 @@
   void connect(Outbox& out);
   void again(Time now, Outbox& out);
   void drop(Time now, Outbox& out);
+  void renew(std::string_view why, Outbox& out);
+  bool take(const http::ServerSentEvent& event, Outbox& out);
 
   std::string address_;
   std::uint64_t position_;  // of the last event taken
@@ -43,6 +45,9 @@
   std::optional<http::Head> head_{};
   std::optional<http::Body> body_{};
   std::string text_{};
+  std::optional<Time> half_since_{};  // a head or an event has begun and is not whole
+  std::optional<std::uint64_t>
+      asked_again_for_{};  // the event that could not be read, and was asked for anew
   std::vector<HostList> news_{};
 };
 
--- a/src/back/setup_servers.cpp
+++ b/src/back/setup_servers.cpp
@@ -16,6 +16,8 @@
 // A message that has begun is whole within so long, or the connection is of no more use.
 constexpr Duration kWholeWithin = 400ms;
 constexpr Duration kReconnectPause = 250ms;
+// After a start so long is given to the first connections; then set-ups wait for them like any others.
+constexpr Duration kFirstConnects = 500ms;
 // A server with calls that says nothing for so long is tried on a new connection: a machine that vanished
 // leaves the old one open and silent.
 constexpr Duration kSuspicious = 1200ms;
@@ -150,7 +152,10 @@
 
 // ---- the list
 
-void SetupServers::start(Time now, Outbox& out) { out.arm(net::Concern::server, 0, now + kTick); }
+void SetupServers::start(Time now, Outbox& out) {
+  began_ = now;
+  out.arm(net::Concern::server, 0, now + kTick);
+}
 
 void SetupServers::take(Time now, const HostList& list, ListKind kind, Outbox& out) {
   ServerList told;
@@ -181,6 +186,7 @@
   }
   out.tell(core::ServersChanged{std::move(told)});
   for (auto& [id, server] : servers_) {
+    if (server.host.state != ServerState::in_service) recall_invites(server, out);
     if (server.host.state == ServerState::terminated) {
       end_calls(server, {}, out);
       server.current.reset();
@@ -190,14 +196,26 @@
   }
 }
 
-bool SetupServers::ready() const {
+// What is handed over and not written yet is not to reach a server that is to get nothing new.
+void SetupServers::recall_invites(const Server& server, Outbox& out) {
+  for (const auto& [since, key] : server.unanswered) {
+    const Leg& leg = legs_.at(key);
+    out.recall({net::Concern::server, leg.conn}, leg.ticket, {});
+  }
+}
+
+// A restarted process with a saved list is of use though no server can be reached for now: it tells its
+// callers so at once.
+void SetupServers::look_whether_ready(Time now) {
+  if (ready_) return;
   bool any = false;
+  bool all_tried = true;
   for (const auto& [id, server] : servers_) {
     if (server.host.state != ServerState::in_service) continue;
-    if (!server.tried) return false;
-    any = any || server.current;
+    any = true;
+    all_tried = all_tried && server.tried;
   }
-  return any;
+  ready_ = any && (all_tried || now - began_ >= kFirstConnects);
 }
 
 std::size_t SetupServers::listed() const {
@@ -235,6 +253,7 @@
     out.log(net::Level::info, "setup server " + server->host.uid + " can be reached again");
   server->tried = true;
   server->connecting.reset();
+  look_whether_ready(now);
   if (!it->second.for_news || !server->current) server->current = e.conn.number;
   server->unreachable_since.reset();
   server->lost_at.reset();
@@ -245,18 +264,23 @@
 void SetupServers::on(Time now, const net::ConnectFailed& e, Outbox& out) {
   const auto it = connections_.find(e.conn.number);
   if (it == connections_.end()) return;
-  counters_.add(e.refused ? "servers.connects_refused" : "servers.connects_timed_out");
+  counters_.add(e.local     ? "servers.connects_without_descriptor"
+                : e.refused ? "servers.connects_refused"
+                            : "servers.connects_timed_out");
   Server* server = find(it->second.server);
   connections_.erase(it);
   if (server == nullptr) return;
   server->tried = true;
+  look_whether_ready(now);
   server->connecting.reset();
-  server->refused = e.refused;
-  if (!server->unreachable_since) server->unreachable_since = now;
+  if (!e.local) {
+    server->refused = e.refused;
+    if (!server->unreachable_since) server->unreachable_since = now;
+  }
   // The open connection says nothing and no new one comes up: the machine has vanished. Set-ups on the old
   // one once hung there until their callers gave up, and new ones followed them; given up, they can go
   // elsewhere.
-  if (!e.refused && server->current && now - server->heard > kSuspiciousUnanswered) {
+  if (!e.refused && !e.local && server->current && now - server->heard > kSuspiciousUnanswered) {
     counters_.add("servers.connections_dead");
     out.log(net::Level::info, "setup server " + server->host.uid +
                                   " is silent and takes no connection: its set-ups are given up");
@@ -396,8 +420,25 @@
   }));
 }
 
+// A set-up that was given up before any of it was written has never been there.
+void SetupServers::on(Time, const net::Recalled& e, Outbox& out) {
+  const auto it = connections_.find(e.conn.number);
+  if (it == connections_.end()) return;
+  const auto& waiting = it->second.unanswered;
+  const auto key =
+      std::ranges::find_if(waiting, [&](const LegKey& k) { return legs_.at(k).ticket == e.ticket; });
+  if (key == waiting.end()) return;
+  counters_.add("servers.invites_recalled");
+  const auto leg = legs_.find(*key);
+  core::AttemptOver ended;
+  ended.outcome = Outcome::not_sent;
+  over(leg->second, ended, out);
+  erase(leg);
+}
+
 void SetupServers::on(Time now, const net::TimerFired&, Outbox& out) {
   out.arm(net::Concern::server, 0, now + kTick);
+  look_whether_ready(now);
   for (auto& [id, server] : servers_) look_after(now, server, out);
   while (const auto key = due_.take(now)) {
     const auto it = legs_.find(*key);
@@ -525,7 +566,8 @@
   m.add("Expires-Ms", std::to_string(std::max<std::int64_t>(1, left)));
   m.body = r.description;
   counters_.add("servers.invites");
-  out.send_counted({net::Concern::server, leg.conn}, m.text());
+  leg.ticket = ++last_ticket_;
+  out.send_counted({net::Concern::server, leg.conn}, m.text(), leg.ticket);
 }
 
 void SetupServers::apply(Time now, const core::AbandonAttempt& e, Outbox& out) {
@@ -540,7 +582,11 @@
   } else if (leg.state == LegState::sent) {
     enter(now, leg, LegState::abandoned);
     counters_.add("servers.cancels");
-    send(leg, request("CANCEL", leg.request->number_text, leg.request->label, leg.attempt + 1), out);
+    // Its connection is open: with one that is let go its set-ups are over. Where the server reads nothing
+    // the INVITE may not be written yet, and is not to come when it reads again.
+    const sip::Message cancel =
+        request("CANCEL", leg.request->number_text, leg.request->label, leg.attempt + 1);
+    out.recall({net::Concern::server, leg.conn}, leg.ticket, cancel.text());
   }
 }
 
--- a/src/back/setup_servers.h
+++ b/src/back/setup_servers.h
@@ -31,14 +31,16 @@
   void on(Time now, const net::ConnectFailed& e, Outbox& out);
   void on(Time now, const net::Received& e, Outbox& out);
   void on(Time now, const net::Closed& e, Outbox& out);
+  void on(Time now, const net::Recalled& e, Outbox& out);
   void on(Time now, const net::TimerFired& e, Outbox& out);
 
   void apply(Time now, const core::StartAttempt& e, Outbox& out);
   void apply(Time now, const core::AbandonAttempt& e, Outbox& out);
   void apply(Time now, const core::ReleaseServer& e, Outbox& out);
 
-  // Every server in service has been reached or tried.
-  bool ready() const;
+  // Every server in service had been reached or tried once, or enough time for it had passed: whether any can
+  // be reached, and what comes into the list later, makes no difference.
+  bool ready() const { return ready_; }
   void retune(const Settings& settings) { connect_within_ = settings.connect_within; }
   // How many servers the list holds, those that drain among them.
   std::size_t listed() const;
@@ -61,7 +63,8 @@
     std::uint32_t conn{};
     LegState state{};
     Time give_up_at{};
-    Time since{};  // of the state
+    Time since{};            // of the state
+    std::uint64_t ticket{};  // of its INVITE, once sent
     bool unanswered() const { return state == LegState::sent || state == LegState::abandoned; }
     LegKey key() const { return {request->call, attempt}; }
   };
@@ -120,6 +123,8 @@
   static bool has_description(const sip::Message& m);
   Legs::iterator leg_of(std::uint32_t conn, const sip::Message& m);
   void send(Leg& leg, const sip::Message& m, Outbox& out);
+  void recall_invites(const Server& server, Outbox& out);
+  void look_whether_ready(Time now);
 
   Duration connect_within_;
   Directory directory_;
@@ -131,6 +136,9 @@
   std::unordered_multimap<std::string, LegKey> by_label_;
   Due<LegKey> due_;  // given up long enough, or remembered long enough
   std::uint32_t last_connection_ = 0;
+  std::uint64_t last_ticket_ = 0;
+  Time began_{};
+  bool ready_ = false;
 };
 
 // What servers say in SIP, whichever way they are spoken to.
--- a/src/control/announcer.cpp
+++ b/src/control/announcer.cpp
@@ -289,7 +289,7 @@
 void Announcer::on(Time now, const net::Accepted& e, Outbox& out) {
   operators_.insert(e.conn);
   keeper_.accepted(now, e.conn);
-  if (const auto conn = keeper_.too_many([this](net::ConnId c) { return watchers_.contains(c); }))
+  if (const auto conn = keeper_.too_many(now, [this](net::ConnId c) { return watchers_.contains(c); }))
     close(now, *conn, out);
 }
 
@@ -429,7 +429,7 @@
     g.conn = ++last_conn_;
     out.net.push_back(net::Connect{{net::Concern::announced, g.conn}, g.address, kConnectWithin});
   }
-  for (const net::ConnId conn : keeper_.due(now, [this](net::ConnId c) { return watchers_.contains(c); }))
+  for (const auto& [conn, stuck] : keeper_.due(now, [this](net::ConnId c) { return watchers_.contains(c); }))
     close(now, conn, out);
   for (auto it = waiting_.begin(); it != waiting_.end();) {
     std::erase_if(it->second, [now](const Waiting& w) { return w.until <= now; });
--- a/src/control/control.cpp
+++ b/src/control/control.cpp
@@ -73,7 +73,7 @@
   peers_.try_emplace(e.conn);
   keeper_.accepted(now, e.conn);
   const auto busy = [this](net::ConnId conn) { return peers_.at(conn).watches || peers_.at(conn).life; };
-  if (const auto conn = keeper_.too_many(busy)) {
+  if (const auto conn = keeper_.too_many(now, busy)) {
     counters_.add("control.closed_for_room");
     close(now, *conn, out);
   }
@@ -118,7 +118,7 @@
 void Control::on(Time now, const net::TimerFired&, Outbox& out) {
   out.arm(net::Concern::control, 0, now + kTick);
   const auto busy = [this](net::ConnId conn) { return peers_.at(conn).watches || peers_.at(conn).life; };
-  for (const net::ConnId conn : keeper_.due(now, busy)) {
+  for (const auto& [conn, stuck] : keeper_.due(now, busy)) {
     counters_.add("control.closed_idle");
     close(now, conn, out);
   }
--- a/src/core/broker.cpp
+++ b/src/core/broker.cpp
@@ -12,6 +12,8 @@
 constexpr Duration kGuardMargin = 30ms;
 // Sends that a cold server may have in a window from one gatekeeper, however little is known of it.
 constexpr double kColdLeast = 4.0;
+// Release guards of calls that are over, at most: some tens of thousands of calls a second would be needed.
+constexpr std::size_t kMostGuards = 16384;
 // Advice to a caller whose request came to nothing, where the module gives none.
 constexpr Duration kStayAway = 500ms;
 
@@ -62,6 +64,18 @@
   call.came = now_;
   call.deadline = e.request.deadline;
   call.most_attempts = settings_.max_attempts;
+  // The same id may come again just after it ended: its caller closed and came back. To servers it is the
+  // same call.
+  if (const auto guard = guards_.find(e.request.label); guard != guards_.end())
+    call.guard_until = guard->second;
+  if (const auto known = by_label_.find(e.request.label); known != by_label_.end()) {
+    Call& before = calls_.at(known->second);
+    call.guard_until = std::max(call.guard_until, before.guard_until);
+    if (before.out && before.out->sent) {
+      call.after = known->second;
+      before.followed_by = e.request.call;
+    }
+  }
   by_label_.insert_or_assign(e.request.label, e.request.call);
   ++unanswered_;
   const auto turn_down = [&](bool refused, Why why, Duration wait, limits::Treatment treatment = {}) {
@@ -151,7 +165,7 @@
   const Attempt out = *call->out;
   if (!out.stands) record(*call, e.outcome);
   call->out.reset();
-  if (leaves_traces(e.outcome)) call->guard_until = now_ + settings_.release_guard + kGuardMargin;
+  attempt_ended(*call, e.outcome);
   if (out.stands) {
     --standing_;
     counters_.add(e.outcome == Outcome::ok ? "broker.calls_ended" : "broker.calls_cut");
@@ -177,6 +191,17 @@
   forget_if_over(e.call);
 }
 
+void Broker::attempt_ended(Call& call, Outcome outcome) {
+  if (leaves_traces(outcome)) call.guard_until = now_ + settings_.release_guard + kGuardMargin;
+  if (!call.followed_by) return;
+  Call* next = find(*std::exchange(call.followed_by, std::nullopt));
+  if (next == nullptr) return;
+  next->after.reset();
+  next->guard_until = std::max(next->guard_until, call.guard_until);
+  if (next->out && !next->out->sent)
+    alarm(std::max(next->guard_until, now_), {Alarm::Kind::guard, next->request->call, {}});
+}
+
 // A connection that fell silent gives up its set-ups; one of them may have stood at the server and be over
 // there. Its release comes on the next connection, while the call waits here for the guard or for the module.
 // Passed on to the caller it was the final answer, and yet the call was sent on. The callee has been rung:
@@ -217,6 +242,24 @@
 
 void Broker::on(const ReportHeard& e) { tell_module(ServerReport{e.server, e.report}); }
 
+void Broker::on(const Stopping&) {
+  std::vector<CallId> open;
+  for (const auto& [id, call] : calls_) {
+    if (!call.answered) open.push_back(id);
+  }
+  std::ranges::sort(open);
+  for (const CallId id : open) {
+    Call* call = find(id);
+    if (call == nullptr || call->answered) continue;
+    counters_.add("broker.given_up_at_the_end");
+    // One that was never sent on may be tried again elsewhere at once.
+    answer(*call, false, call->attempts == 0, Why::stopping, kStayAway, {});
+    tell_module(CallerLeft{id});
+    settle_module();
+    forget_if_over(id);
+  }
+}
+
 void Broker::on(const Retuned& e) {
   settings_ = e.settings;
   tell_module(SettingsChanged{e.settings});
@@ -241,7 +284,7 @@
   Call* call = find(rang.call);
   if (call == nullptr) return;
   if (rang.kind == Alarm::Kind::deadline) return overdue(*call);
-  if (call->out && !call->out->sent) start(*call);
+  if (call->out && !call->out->sent && !call->after) start(*call);
 }
 
 // The caller stops waiting now. The module hears of the time-out and may still say how to answer; if it says
@@ -255,6 +298,7 @@
     record(call, Outcome::timed_out);
     if (out.sent && !out.abandoned) emit(AbandonAttempt{call.request, out.index});
     call.out.reset();
+    attempt_ended(call, out.sent ? Outcome::timed_out : Outcome::not_sent);
     AttemptEnded ended;
     ended.call = id;
     ended.attempt = out.index;
@@ -309,6 +353,7 @@
     return not_sent(*call, index, a.server);
   }
   call->out = Attempt{index, a.server, std::min(a.give_up_at, call->deadline), now_, false, false, false};
+  if (call->after) return counters_.add("broker.sends_guarded");  // started at the other's end
   if (now_ < call->guard_until) {
     counters_.add("broker.sends_guarded");
     return alarm(call->guard_until, {Alarm::Kind::guard, a.call, {}});
@@ -443,9 +488,23 @@
   if (it == calls_.end() || !it->second.answered || it->second.out) return;
   const auto label = by_label_.find(it->second.request->label);
   if (label != by_label_.end() && label->second == id) by_label_.erase(label);
+  keep_guard(it->second);
   calls_.erase(it);
 }
 
+// The guard of a call outlives it: its label may come again.
+void Broker::keep_guard(const Call& call) {
+  while (!guards_by_time_.empty() &&
+         (guards_by_time_.front().first <= now_ || guards_by_time_.size() >= kMostGuards)) {
+    const auto old = guards_.find(guards_by_time_.front().second);
+    if (old != guards_.end() && old->second <= guards_by_time_.front().first) guards_.erase(old);
+    guards_by_time_.pop_front();
+  }
+  if (call.guard_until <= now_) return;
+  guards_.insert_or_assign(call.request->label, call.guard_until);
+  guards_by_time_.emplace_back(call.guard_until, call.request->label);
+}
+
 void Broker::alarm(Time at, Alarm alarm) {
   alarms_.emplace(++last_alarm_, alarm);
   emit(SetAlarm{at, last_alarm_});
--- a/src/core/broker.h
+++ b/src/core/broker.h
@@ -56,6 +56,7 @@
   number_busy,
   no_success,
   crossed,
+  stopping,
   cut,
   ended
 };
@@ -106,9 +107,10 @@
 struct Retuned {  // the settings have changed; requests under way keep their terms
   Settings settings{};
 };
+struct Stopping {};  // the process ends: whatever is open is answered now
 
 using Event = std::variant<RequestCame, CallerGaveUp, CallerReleased, AttemptStood, AttemptOver,
-                           ServerReleased, ServersChanged, ReportHeard, TimerRang, Retuned>;
+                           ServerReleased, ServersChanged, ReportHeard, TimerRang, Retuned, Stopping>;
 
 // ---- Effects
 
@@ -220,6 +222,10 @@
     bool answered = false;
     bool turned_down = false;
     Time guard_until{};
+    // An earlier call under the same label has its attempt out still: none of this one begins before its end
+    // and the release guard after it.
+    std::optional<CallId> after{};
+    std::optional<CallId> followed_by{};
     std::vector<AttemptRecord> records{};
   };
   struct Server {
@@ -245,6 +251,7 @@
   void on(const ReportHeard& e);
   void on(const TimerRang& e);
   void on(const Retuned& e);
+  void on(const Stopping& e);
 
   void act(const SendSetUp& a);
   void act(const CancelAttempt& a);
@@ -259,6 +266,8 @@
   void overdue(Call& call);
   void start(Call& call);
   void give_up_attempt(Call& call);
+  void attempt_ended(Call& call, Outcome outcome);
+  void keep_guard(const Call& call);
   void not_sent(Call& call, int index, ServerId server);
   bool may_send(ServerId server, std::string_view& why_not);
   void keep_window(std::deque<Time>& times) const;
@@ -283,6 +292,8 @@
   Effects* effects_ = nullptr;
   std::unordered_map<CallId, Call> calls_;
   std::unordered_map<std::string, CallId> by_label_;  // of calls_; the newest under a label
+  std::unordered_map<std::string, Time> guards_;      // of labels whose call is over: until when
+  std::deque<std::pair<Time, std::string>> guards_by_time_;
   std::map<ServerId, Server> servers_;
   std::unordered_map<std::uint64_t, Alarm> alarms_;
   std::uint64_t last_alarm_ = 0;
--- a/src/front/keeper.h
+++ b/src/front/keeper.h
@@ -15,9 +15,12 @@
 class Keeper {
  public:
   // `idle`: a connection on which nothing is open is closed after so long without a word; none: it is kept.
-  Keeper(std::size_t most, std::optional<Duration> idle) : most_(most), idle_(idle) {}
+  // `door`: whether who comes beyond some more waits outside until there is room. Then nobody is closed who
+  // is busy, or has just come and may be about to ask; else there are never more than `most`.
+  Keeper(std::size_t most, std::optional<Duration> idle, bool door = false)
+      : most_(most), idle_(idle), door_(door) {}
 
-  void accepted(Time now, net::ConnId conn) { open_[conn] = {now, false, now}; }
+  void accepted(Time now, net::ConnId conn) { open_[conn] = {now, false, false, now}; }
   void closed(net::ConnId conn) { open_.erase(conn); }
   // Something came in; `whole`: a message among it; `half`: one that has begun and is not whole is left.
   void heard(Time now, net::ConnId conn, bool whole, bool half) {
@@ -26,6 +29,7 @@
     if (whole) {
       it->second.waits_since.reset();
       it->second.active = now;
+      it->second.spoken = true;
     }
     it->second.half = half;
     if (half && !it->second.waits_since) it->second.waits_since = now;
@@ -37,22 +41,29 @@
   }
   // Where there are too many, the one to close. `busy` tells whether something is open on a connection.
   template <class Busy>
-  std::optional<net::ConnId> too_many(Busy busy) const {
+  std::optional<net::ConnId> too_many(Time now, Busy busy) const {
     if (open_.size() <= most_) return std::nullopt;
     auto idlest = open_.end();
     for (auto it = open_.begin(); it != open_.end(); ++it) {
-      if ((idlest == open_.end() || it->second.active < idlest->second.active) && !busy(it->first))
+      const bool just_come = door_ && !it->second.spoken && now - it->second.active < kFirstWord;
+      if ((idlest == open_.end() || it->second.active < idlest->second.active) && !just_come &&
+          !busy(it->first))
         idlest = it;
     }
-    // All are busy: the newest has to go.
-    return idlest == open_.end() ? std::prev(open_.end())->first : idlest->first;
+    if (idlest != open_.end()) return idlest->first;
+    if (door_) return std::nullopt;
+    return std::prev(open_.end())->first;  // all are busy: the newest has to go
   }
+  struct Due {
+    net::ConnId conn;
+    bool stuck{};  // a message that is not whole in time; else it is idle
+  };
   template <class Busy>
-  std::vector<net::ConnId> due(Time now, Busy busy) const {
-    std::vector<net::ConnId> all;
+  std::vector<Due> due(Time now, Busy busy) const {
+    std::vector<Due> all;
     for (const auto& [conn, c] : open_) {
       const bool stuck = c.waits_since && now - *c.waits_since > kWholeWithin;
-      if (stuck || (idle_ && now - c.active > *idle_ && !busy(conn))) all.push_back(conn);
+      if (stuck || (idle_ && now - c.active > *idle_ && !busy(conn))) all.push_back({conn, stuck});
     }
     return all;
   }
@@ -61,13 +72,17 @@
   // A first message, and each that has begun, is whole within so long: who sends none is owed a close within
   // 3 s.
   static constexpr Duration kWholeWithin = std::chrono::milliseconds(2200);
+  // A caller that connects asks at once; what it sends is a way of some hundred milliseconds behind at most.
+  static constexpr Duration kFirstWord = std::chrono::milliseconds(500);
   struct Open {
     std::optional<Time> waits_since;  // for the message to be whole
     bool half = false;                // of one, some has come
+    bool spoken = false;              // a whole message has come
     Time active{};                    // when the last whole message came
   };
   std::size_t most_;
   std::optional<Duration> idle_;
+  bool door_;
   std::map<net::ConnId, Open> open_;
 };
 
--- a/src/front/platform.cpp
+++ b/src/front/platform.cpp
@@ -50,10 +50,15 @@
   connections_.try_emplace(e.conn);
   keeper_.accepted(now, e.conn);
   for (auto& [id, line] : std::exchange(homeless_, {})) tell(now, e.conn, id, std::move(line), out);
-  // Connections kept for nothing once filled the limit, and usual callers were turned away.
-  if (const auto conn = keeper_.too_many([this](net::ConnId c) { return is_busy(c); })) {
+  make_room(now, out);
+}
+
+// Connections kept for nothing once filled the limit, and usual callers were turned away. One goes at a time:
+// not where something has come that is not read yet, which may be a request.
+void Platform::make_room(Time now, Outbox& out) {
+  if (const auto conn = keeper_.too_many(now, [this](net::ConnId c) { return is_busy(c); })) {
     counters_.add("platform.closed_for_room");
-    close(now, *conn, out);
+    out.net.push_back(net::CloseQuiet{*conn, true});
   }
 }
 
@@ -74,9 +79,14 @@
 void Platform::on(Time now, const net::TimerFired&, Outbox& out) {
   out.arm(net::Concern::platform, 0, now + kLook);
   if (handed_on_) close_quiet(out);
-  for (const net::ConnId conn : keeper_.due(now, [this](net::ConnId c) { return is_busy(c); })) {
+  make_room(now, out);
+  for (const Keeper::Due& due : keeper_.due(now, [this](net::ConnId c) { return is_busy(c); })) {
     counters_.add("platform.closed_idle");
-    close(now, conn, out);
+    if (due.stuck) {
+      close(now, due.conn, out);
+    } else {  // a request that came in this instant is taken instead
+      out.net.push_back(net::CloseQuiet{due.conn});
+    }
   }
   for (auto& [conn, c] : connections_)
     std::erase_if(c.told, [now](const auto& told) { return now - told.second.at > kToldFor; });
@@ -170,6 +180,7 @@
     }
     return;
   }
+  if (connections_[conn].peer_closed) return counters_.add("platform.setups_of_the_gone");
   core::Request request;
   const std::string trouble = read_request(now, m, request);
   if (!trouble.empty()) return refuse_malformed(now, conn, m.id, trouble, out);
@@ -226,14 +237,26 @@
   keeper_.closed(e.conn);
   const auto it = connections_.find(e.conn);
   if (it == connections_.end()) return;
-  const Connection gone = std::move(it->second);
+  Connection gone = std::move(it->second);
   connections_.erase(it);
-  for (const CallId call : gone.waiting) {
+  give_up_waiting(gone, out);
+  // A release that was not heard on this connection is told on another one: calls belong to none.
+  for (const auto& [id, told] : gone.told) tell(now, e.conn, id, told.line, out);
+}
+
+// The caller has gone, though much that it sent before may still have to be read.
+void Platform::on(Time, const net::PeerClosed& e, Outbox& out) {
+  const auto it = connections_.find(e.conn);
+  if (it == connections_.end()) return;
+  it->second.peer_closed = true;
+  give_up_waiting(it->second, out);
+}
+
+void Platform::give_up_waiting(Connection& c, Outbox& out) {
+  for (const CallId call : std::exchange(c.waiting, {})) {
     forget(call);
     out.tell(core::CallerGaveUp{call});
   }
-  // A release that was not heard on this connection is told on another one: calls belong to none.
-  for (const auto& [id, told] : gone.told) tell(now, e.conn, id, told.line, out);
 }
 
 // ---- the broker's effects
@@ -281,8 +304,9 @@
 
 // What ends a call may go to the callers on any connection: on its own, else another, else the next.
 void Platform::tell(Time now, net::ConnId preferred, const std::string& id, std::string line, Outbox& out) {
+  const auto hears = [](const auto& c) { return !c.second.peer_closed; };
   auto it = connections_.find(preferred);
-  if (it == connections_.end()) it = connections_.begin();
+  if (it == connections_.end() || !hears(*it)) it = std::ranges::find_if(connections_, hears);
   if (it == connections_.end()) {
     if (homeless_.size() < kMostHomeless) homeless_.emplace_back(id, std::move(line));
     return;
--- a/src/front/platform.h
+++ b/src/front/platform.h
@@ -25,12 +25,15 @@
 class Platform {
  public:
   Platform(PlatformFrontSettings settings, Counters& counters)
-      : settings_(std::move(settings)), counters_(counters), keeper_(settings_.most_connections, kIdle) {}
+      : settings_(std::move(settings)),
+        counters_(counters),
+        keeper_(settings_.most_connections, kIdle, true) {}
 
   void start(Time now, Outbox& out) const;
   void on(Time now, const net::Accepted& e, Outbox& out);
   void on(Time now, const net::Received& e, Outbox& out);
   void on(Time now, const net::Closed& e, Outbox& out);
+  void on(Time now, const net::PeerClosed& e, Outbox& out);
   void on(Time now, const net::TimerFired& e, Outbox& out);
   void ready(bool ready) { ready_ = ready; }
   // New requests are of these classes from now on.
@@ -58,6 +61,7 @@
   struct Connection {
     std::set<CallId> waiting;          // set-ups without an answer
     std::map<std::string, Told> told;  // releases that were not heard yet, by id
+    bool peer_closed = false;          // its caller has gone: no set-up on it is owed an answer
   };
   // Callers close an idle connection after 4 s; one that keeps it for good is not waited for longer than
   // this.
@@ -70,6 +74,8 @@
                         Outbox& out);
   void close(Time now, net::ConnId conn, Outbox& out);
   void close_quiet(Outbox& out);
+  void make_room(Time now, Outbox& out);
+  void give_up_waiting(Connection& c, Outbox& out);
   bool is_busy(net::ConnId conn) const;
   void tell(Time now, net::ConnId preferred, const std::string& id, std::string line, Outbox& out);
   void end_by_caller(CallId call, int cause, Outbox& out);
--- a/src/front/sip.cpp
+++ b/src/front/sip.cpp
@@ -102,7 +102,7 @@
 Sip::Sip(SipFrontSettings settings, Counters& counters)
     : settings_(std::move(settings)),
       counters_(counters),
-      keeper_(settings_.most_connections, std::nullopt),
+      keeper_(settings_.most_connections, std::nullopt, true),
       transport_(net::Concern::sip, counters),
       transactions_(net::Concern::sip, transport_, counters),
       load_control_({settings_.udp, settings_.tcp, settings_.load_control_from, settings_.seed},
@@ -131,8 +131,9 @@
       return call.second.dialog.flow.reliable && call.second.dialog.flow.conn == conn.number;
     });
   };
-  std::vector<net::ConnId> going = keeper_.due(now, busy);
-  if (const auto conn = keeper_.too_many(busy)) going.push_back(*conn);
+  std::vector<net::ConnId> going;
+  for (const Keeper::Due& due : keeper_.due(now, busy)) going.push_back(due.conn);
+  if (const auto conn = keeper_.too_many(now, busy)) going.push_back(*conn);
   for (const net::ConnId conn : going) {
     counters_.add("sip.closed_for_room");
     keeper_.closed(conn);
@@ -141,9 +142,33 @@
 }
 void Sip::on(Time, const net::Connected& e, Outbox& out) { transport_.connected(e.conn.number, out); }
 void Sip::on(Time, const net::ConnectFailed& e, Outbox&) { transport_.connect_failed(e.conn.number); }
-void Sip::on(Time, const net::Closed& e, Outbox&) {
+void Sip::on(Time now, const net::Closed& e, Outbox& out) {
   keeper_.closed(e.conn);
   transport_.closed(e.conn.number);
+  closed_by_peer_.erase(e.conn.number);
+  give_up_unanswered(now, e.conn.number, out);
+}
+
+void Sip::on(Time now, const net::PeerClosed& e, Outbox& out) {
+  closed_by_peer_.insert(e.conn.number);
+  give_up_unanswered(now, e.conn.number, out);
+}
+
+// A caller that closes the stream of an INVITE has gone, as one that cancels: no attempt is to begin for it.
+// The INVITE is ended as after a CANCEL, by another connection where RFC 3261 (18.2.2) knows of one.
+void Sip::give_up_unanswered(Time now, std::uint32_t conn, Outbox& out) {
+  std::vector<CallId> left;
+  for (const auto& [id, call] : calls_) {
+    const sip::Flow& flow = call.dialog.flow;
+    if (!call.answered && flow.reliable && flow.conn == conn) left.push_back(id);
+  }
+  std::ranges::sort(left);
+  for (const CallId id : left) {
+    counters_.add("sip.callers_gone");
+    refuse(now, calls_.at(id).invite, 487, out);
+    out.tell(core::CallerGaveUp{id});
+    forget(id);
+  }
 }
 
 void Sip::on(Time now, const net::Received& e, Outbox& out) {
@@ -261,6 +286,7 @@
   }
   merged_order_.emplace_back(now, merge);
 
+  if (flow.reliable && closed_by_peer_.contains(flow.conn)) return refuse(now, key, 487, out);
   core::Request request;
   if (std::string trouble = read_request(now, m, request); !trouble.empty()) {
     counters_.add("sip.malformed");
--- a/src/front/sip.h
+++ b/src/front/sip.h
@@ -41,6 +41,7 @@
   void on(Time now, const net::ConnectFailed& e, Outbox& out);
   void on(Time now, const net::Received& e, Outbox& out);
   void on(Time now, const net::Closed& e, Outbox& out);
+  void on(Time now, const net::PeerClosed& e, Outbox& out);
   void on(Time now, const net::Datagram& e, Outbox& out);
   void on(Time now, const net::TimerFired& e, Outbox& out);
   void ready(bool ready) { ready_ = ready; }
@@ -85,6 +86,7 @@
   void refuse(Time now, const std::string& key, int status, Outbox& out, std::string warning = {});
   void refuse_malformed(Time now, const sip::Incoming& incoming, Outbox& out);
   void make_room(Time now, Outbox& out);
+  void give_up_unanswered(Time now, std::uint32_t conn, Outbox& out);
   std::string read_request(Time now, const sip::Message& m, core::Request& request);
   sip::Message accept(const Call& call, const sip::Message& request) const;
   void send_bye(Time now, Call& call, int cause, Outbox& out);
@@ -109,6 +111,7 @@
   // What a request is known by wherever it comes along (§8.2.2.2), and until when.
   std::map<std::string, std::string> merged_;
   std::deque<std::pair<Time, std::string>> merged_order_;
+  std::set<std::uint32_t> closed_by_peer_;  // streams that are open on our side only
   std::uint64_t last_ = 0;
   Words words_;
   bool ready_ = false;
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -10,7 +10,7 @@
 #include <string>
 
 #include "app/gatekeeper.h"
-#include "management/management.h"
+#include "config/descriptors.h"
 #include "net/runtime.h"
 #include "proto/number.h"
 
@@ -90,9 +90,7 @@
   prepare(deploy);
 
   net::RuntimeLimits limits;
-  // Some descriptors are the program's own.
-  constexpr std::size_t kOwn = 32 + management::kMostConnections;
-  limits.connections = config.sockets > 2 * kOwn ? config.sockets - kOwn : config.sockets / 2;
+  limits.connections = descriptor_shares(config.sockets).accepted;
   net::Runtime runtime(limits, net::Logger(level_from(variable("GRANITERUN_LOG"))));
   Gatekeeper gatekeeper(config, deploy, [&runtime](Counters& all) {
     const net::RuntimeCounters& c = runtime.counters();
@@ -100,6 +98,9 @@
     all.add("net.bytes_out", c.bytes_out);
     all.add("net.accepted", c.accepted);
     all.add("net.turned_away", c.turned_away);
+    all.add("net.held_at_the_door", c.held_at_the_door);
+    all.add("net.no_descriptor", c.no_descriptor);
+    all.add("net.recalled", c.recalled);
     all.add("net.overflowed", c.overflowed);
     all.add("net.counted_written", c.counted_written);
     all.add("net.timers", c.timers);
@@ -117,7 +118,7 @@
 
 int main(int argc, char** argv) {
   std::signal(SIGPIPE, SIG_IGN);
-  std::signal(SIGHUP, SIG_IGN);  // until the loop watches for it
+  net::hold_signals();
   try {
     return run(argc, argv);
   } catch (const std::exception& trouble) {
--- a/src/net/events.h
+++ b/src/net/events.h
@@ -54,6 +54,7 @@
 struct ConnectFailed {
   ConnId conn;
   bool refused{};  // nobody listens there; else no answer came in time
+  bool local{};    // there was no descriptor or port to be had here: it says nothing of the other side
 };
 // All that has come in and was not consumed yet. What the reducer does not consume stands in the next one
 // too.
@@ -65,6 +66,16 @@
   ConnId conn;
   bool reset{};
 };
+// The other side of an accepted connection has closed it or has closed its half. What it sent before is still
+// told, and then Closed; this comes ahead of what is not read yet, however much that is.
+struct PeerClosed {
+  ConnId conn;
+};
+// A Recall was in time: nothing of the message has been written, and nothing will be.
+struct Recalled {
+  ConnId conn;
+  std::uint64_t ticket{};
+};
 struct Datagram {
   Concern concern{};
   std::string_view peer;  // address:port
@@ -94,9 +105,9 @@
 };
 struct Started {};
 
-using Event =
-    std::variant<Started, Accepted, Connected, ConnectFailed, Received, Closed, Datagram, Unreachable, Bound,
-                 BindFailed, TimerFired, StopAsked, CountersAsked, ReloadAsked, FileRead>;
+using Event = std::variant<Started, Accepted, Connected, ConnectFailed, Received, Closed, PeerClosed,
+                           Recalled, Datagram, Unreachable, Bound, BindFailed, TimerFired, StopAsked,
+                           CountersAsked, ReloadAsked, FileRead>;
 
 // Whose event it is; none: the whole program's.
 inline std::optional<Concern> concern_of(const Event& event) {
@@ -142,7 +153,15 @@
 struct Send {
   ConnId conn;
   std::string bytes;
-  bool counted = false;  // in the runtime's counters, once it is written whole
+  // Not 0: it is counted in the runtime's counters once it is written whole, and may be recalled before.
+  std::uint64_t ticket = 0;
+};
+// Takes a message back of which nothing is written yet: Recalled comes. Where it is too late `otherwise` is
+// sent, if there is any.
+struct Recall {
+  ConnId conn;
+  std::uint64_t ticket{};
+  std::string otherwise;
 };
 struct SendDatagram {
   Concern concern{};
@@ -161,6 +180,7 @@
 };
 struct CloseQuiet {  // unless something has come that was not read yet: that is told first
   ConnId conn;
+  bool at_once = false;  // its descriptor is wanted: the other side's end is not awaited
 };
 struct ArmTimer {
   TimerKey key;
@@ -184,9 +204,14 @@
 struct Exit {
   int status{};
 };
+// Unless something is left to write or has come and is not read yet, on any connection or as a new one.
+struct ExitIfQuiet {
+  int status{};
+};
 
-using Effect = std::variant<Listen, StopListening, Bind, Unbind, Connect, Send, SendDatagram, Consume, Close,
-                            Drop, CloseQuiet, ArmTimer, ReadFile, WriteFile, Log, Print, Exit>;
+using Effect =
+    std::variant<Listen, StopListening, Bind, Unbind, Connect, Send, Recall, SendDatagram, Consume, Close,
+                 Drop, CloseQuiet, ArmTimer, ReadFile, WriteFile, Log, Print, Exit, ExitIfQuiet>;
 using Effects = std::vector<Effect>;
 
 }  // namespace graniterun::net
--- a/src/net/outbox.h
+++ b/src/net/outbox.h
@@ -15,9 +15,12 @@
   std::vector<core::Event> core;
 
   void send(net::ConnId conn, std::string bytes) { net.push_back(net::Send{conn, std::move(bytes)}); }
-  // Counted by the runtime once it is written whole.
-  void send_counted(net::ConnId conn, std::string bytes) {
-    net.push_back(net::Send{conn, std::move(bytes), true});
+  // Counted by the runtime once it is written whole; `recall` takes it back before.
+  void send_counted(net::ConnId conn, std::string bytes, std::uint64_t ticket) {
+    net.push_back(net::Send{conn, std::move(bytes), ticket});
+  }
+  void recall(net::ConnId conn, std::uint64_t ticket, std::string otherwise) {
+    net.push_back(net::Recall{conn, ticket, std::move(otherwise)});
   }
   void close(net::ConnId conn) { net.push_back(net::Close{conn}); }
   void drop(net::ConnId conn) { net.push_back(net::Drop{conn}); }
--- a/src/net/ring.h
+++ b/src/net/ring.h
@@ -61,6 +61,14 @@
     }
     return {storage_.data() + head_, size_};
   }
+  // Takes `count` bytes out from `at` on, counted from the first that is held.
+  void cut(std::size_t at, std::size_t count) {
+    contents();  // in one piece
+    at = std::min(at, size_);
+    count = std::min(count, size_ - at);
+    std::memmove(storage_.data() + head_ + at, storage_.data() + head_ + at + count, size_ - at - count);
+    size_ -= count;
+  }
   void drop(std::size_t count) {
     count = std::min(count, size_);
     size_ -= count;
--- a/src/net/runtime.cpp
+++ b/src/net/runtime.cpp
@@ -5,6 +5,8 @@
 #include <linux/errqueue.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <poll.h>
+#include <signal.h>
 #include <sys/ioctl.h>
 #include <sys/socket.h>
 
@@ -54,6 +56,10 @@
   return g_unix_fd_source_new(g_socket_get_fd(socket), condition);
 }
 
+// The other side has closed, told by poll ahead of what is not read yet. GLib has no word for it and hands
+// poll's bits on.
+constexpr auto kPeerClosed = static_cast<GIOCondition>(POLLRDHUP);
+
 // A source of the main loop that ends with its owner.
 class Source {
  public:
@@ -97,6 +103,22 @@
   return Time(duration_cast<Duration>(steady_clock::now().time_since_epoch()) + offset);
 }
 
+namespace {
+
+sigset_t watched_signals() {
+  sigset_t set;
+  sigemptyset(&set);
+  for (const int number : {SIGTERM, SIGHUP, SIGUSR1}) sigaddset(&set, number);
+  return set;
+}
+
+}  // namespace
+
+void hold_signals() {
+  const sigset_t set = watched_signals();
+  pthread_sigmask(SIG_BLOCK, &set, nullptr);
+}
+
 bool is_listening_tcp(int descriptor) {
   const auto option = [descriptor](int level, int name) {
     int value = -1;
@@ -129,6 +151,8 @@
     term.start(g_unix_signal_source_new(SIGTERM), &Impl::on_term, this);
     user.start(g_unix_signal_source_new(SIGUSR1), &Impl::on_user, this);
     hangup.start(g_unix_signal_source_new(SIGHUP), &Impl::on_hangup, this);
+    const sigset_t held = watched_signals();
+    pthread_sigmask(SIG_UNBLOCK, &held, nullptr);
     step(Started{});
     if (!status_) g_main_loop_run(loop_);
     g_main_loop_unref(loop_);
@@ -156,12 +180,20 @@
     bool closing = false;
     bool shut = false;  // all is written and said to be: what still comes is read and dropped
     std::size_t dropped = 0;
-    std::uint64_t sent = 0;                    // bytes handed to `out` since the start
-    std::deque<std::uint64_t> counted_ends{};  // of the messages in `out` that are to be counted, in `sent`
-    Listener* apart = nullptr;                 // it stands beside the common limit
+    struct Ticketed {  // a message that is to be counted, and may be recalled
+      std::uint64_t ticket;
+      std::uint64_t begin;  // both in `sent`
+      std::uint64_t end;
+    };
+    std::uint64_t sent = 0;           // bytes handed to `out` since the start, but for those recalled
+    std::deque<Ticketed> ticketed{};  // those not written whole, in order
+    Listener* from = nullptr;         // it was accepted there
+    bool peer_closed = false;         // the other side has closed, or its half
+    bool held_back = false;           // nothing is read from it until more is written to it
+    std::uint64_t written() const { return sent - out.size(); }
     ~Connection() {
       impl.outbound_ -= out.size();
-      if (apart != nullptr) --apart->open;
+      if (from != nullptr) --from->open;
     }
   };
   struct Listener {
@@ -170,8 +202,9 @@
     Owned<GSocket> socket;
     Source source;
     std::size_t most_apart = 0;
-    std::size_t open = 0;  // of those that stand apart
+    std::size_t open = 0;  // accepted there and not closed yet
     bool exclusive = false;
+    bool stopped = false;  // it takes no more connections
   };
   struct Timer {
     Time at;
@@ -210,9 +243,9 @@
     listener->impl.receive_datagrams(*listener);
     return G_SOURCE_CONTINUE;
   }
-  static gboolean on_readable(gint, GIOCondition, gpointer data) {
+  static gboolean on_readable(gint, GIOCondition condition, gpointer data) {
     auto* c = static_cast<Connection*>(data);
-    c->impl.read(c->id);
+    c->impl.readable(c->id, (condition & kPeerClosed) != 0);
     return G_SOURCE_CONTINUE;
   }
   static gboolean on_writable(gint, GIOCondition, gpointer data) {
@@ -257,7 +290,9 @@
   }
   void carry_out(const StopListening& e) {
     for (auto& listener : listeners_) {
-      if (listener->concern == e.concern) listener->source.end();
+      if (listener->concern != e.concern) continue;
+      listener->stopped = true;
+      listener->source.end();
     }
   }
 
@@ -274,11 +309,16 @@
 
   void watch_listener(const Listen& e, Owned<GSocket> socket, GSocketType type) {
     auto listener = std::make_unique<Listener>(Listener{*this, e.concern, std::move(socket), {}, e.apart});
-    GSource* source = watch(listener->socket.get(), G_IO_IN);
-    listener->source.start(source, type == G_SOCKET_TYPE_STREAM ? &Impl::on_acceptable : &Impl::on_datagram,
-                           listener.get());
+    if (type == G_SOCKET_TYPE_STREAM) {
+      watch_accepting(*listener);
+    } else {
+      listener->source.start(watch(listener->socket.get(), G_IO_IN), &Impl::on_datagram, listener.get());
+    }
     listeners_.push_back(std::move(listener));
   }
+  void watch_accepting(Listener& listener) {
+    listener.source.start(watch(listener.socket.get(), G_IO_IN), &Impl::on_acceptable, &listener);
+  }
 
   // Whether it listens. One that is exclusive is tried again by whoever wants it, and says so itself.
   bool listen(const Listen& wanted, GSocketType type, bool exclusive = false) {
@@ -307,66 +347,102 @@
     return false;
   }
 
+  // Who comes while there is no room waits in the listener's queue. Taken and closed at once, a caller's
+  // request was lost with the connection; left readable, a listener without a descriptor to take its caller
+  // with kept the loop spinning.
   void accept(Listener& listener) {
     for (std::size_t i = 0; i < limits_.accepted_from_each; ++i) {
-      Owned<GSocket> socket(g_socket_accept(listener.socket.get(), nullptr, nullptr));
-      if (socket == nullptr) return;
-      const bool full = listener.most_apart > 0 ? listener.open >= listener.most_apart
-                                                : connections_.size() - apart() >= limits_.connections;
-      if (full) {
+      if (listener.most_apart == 0 && accepted_in_common() >= limits_.connections) return hold(listener);
+      GError* error = nullptr;
+      Owned<GSocket> socket(g_socket_accept(listener.socket.get(), nullptr, &error));
+      if (socket == nullptr) {
+        const bool none_left = !g_error_matches(error, G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK);
+        g_clear_error(&error);
+        if (!none_left) return;
+        ++counters.no_descriptor;
+        return hold(listener);
+      }
+      if (listener.most_apart > 0 && listener.open >= listener.most_apart) {
         ++counters.turned_away;
         continue;
       }
       ++counters.accepted;
       const ConnId id{listener.concern, ++last_accepted_};
-      adopt(id, std::move(socket));
-      if (listener.most_apart > 0) {
-        ++listener.open;
-        connections_.at(id)->apart = &listener;
-      }
+      adopt(id, std::move(socket), listener);
       step(Accepted{id});
       // What came with it is read before the next one is taken: where only a few may wait, the newest push
       // out the oldest, and one that has asked is not to be among those.
       if (listener.most_apart > 0) read(id);
     }
   }
-  std::size_t apart() const {
+  std::size_t accepted_in_common() const {
     std::size_t all = 0;
-    for (const auto& listener : listeners_) all += listener->open;
+    for (const auto& listener : listeners_) all += listener->most_apart > 0 ? 0 : listener->open;
     return all;
   }
+  void hold(Listener& listener) {
+    ++counters.held_at_the_door;
+    listener.source.end();
+    arm(Timer{clock_now() + kHeldFor, ++timer_order_, {listener.concern, kDoorTimer}});
+  }
+  void open_doors(Concern concern) {
+    for (const auto& listener : listeners_) {
+      if (listener->concern == concern && !listener->stopped && !listener->source.running())
+        watch_accepting(*listener);
+    }
+  }
 
-  void adopt(ConnId id, Owned<GSocket> socket) {
+  void adopt(ConnId id, Owned<GSocket> socket, Listener& from) {
     g_socket_set_blocking(socket.get(), FALSE);
     g_socket_set_option(socket.get(), IPPROTO_TCP, TCP_NODELAY, 1, nullptr);
     auto c = std::make_unique<Connection>(*this, id, std::move(socket), limits_);
     c->connected = true;
+    c->from = &from;
+    ++from.open;
     watch_reading(*c);
     connections_.insert_or_assign(id, std::move(c));
   }
 
+  // A caller's end is looked for beside what it sends, until it is told: it is news though much else has come
+  // before it, or though nothing is read from the connection for now.
   void watch_reading(Connection& c) {
-    if (!c.reading.running()) c.reading.start(watch(c.socket.get(), G_IO_IN), &Impl::on_readable, &c);
+    if (c.reading.running() && !c.held_back) return;
+    c.held_back = false;
+    const bool told = c.from == nullptr || c.peer_closed;
+    const auto condition = told ? G_IO_IN : static_cast<GIOCondition>(G_IO_IN | kPeerClosed);
+    c.reading.start(watch(c.socket.get(), condition), &Impl::on_readable, &c);
+  }
+  void hold_back_reading(Connection& c) {
+    if (c.held_back || c.peer_closed) return;
+    c.held_back = true;
+    if (c.from == nullptr) return c.reading.end();
+    c.reading.start(watch(c.socket.get(), kPeerClosed), &Impl::on_readable, &c);
+  }
+  void readable(ConnId id, bool peer_closed) {
+    const auto it = connections_.find(id);
+    if (it == connections_.end()) return;
+    Connection& c = *it->second;
+    if (peer_closed && !c.peer_closed) {
+      c.peer_closed = true;
+      // What it did not read keeps nothing back any more: the rest of what it sent is read to its end.
+      c.held_back = true;
+      watch_reading(c);
+      if (!c.closing) step(PeerClosed{id});
+    }
+    read(id);
   }
 
   void carry_out(const Connect& e) {
     const auto address = address_of(e.address);
+    if (address == nullptr) return later(ConnectFailed{e.conn, true});
     GError* error = nullptr;
-    Owned<GSocket> socket(address == nullptr
-                              ? nullptr
-                              : g_socket_new(g_socket_address_get_family(address.get()), G_SOCKET_TYPE_STREAM,
-                                             G_SOCKET_PROTOCOL_TCP, &error));
-    if (socket == nullptr) {
-      g_clear_error(&error);
-      return later(ConnectFailed{e.conn, true});
-    }
+    Owned<GSocket> socket(g_socket_new(g_socket_address_get_family(address.get()), G_SOCKET_TYPE_STREAM,
+                                       G_SOCKET_PROTOCOL_TCP, &error));
+    if (socket == nullptr) return no_connection(e.conn, error);
     g_socket_set_blocking(socket.get(), FALSE);
     g_socket_set_option(socket.get(), IPPROTO_TCP, TCP_NODELAY, 1, nullptr);
     const bool done = g_socket_connect(socket.get(), address.get(), nullptr, &error);
-    if (!done && !g_error_matches(error, G_IO_ERROR, G_IO_ERROR_PENDING)) {
-      g_clear_error(&error);
-      return later(ConnectFailed{e.conn, true});
-    }
+    if (!done && !g_error_matches(error, G_IO_ERROR, G_IO_ERROR_PENDING)) return no_connection(e.conn, error);
     g_clear_error(&error);
     auto c = std::make_unique<Connection>(*this, e.conn, std::move(socket), limits_);
     c->connect_due = clock_now() + e.within;
@@ -375,9 +451,28 @@
     connections_.insert_or_assign(e.conn, std::move(c));
   }
 
+  // Why there is none: the other side's refusal, or a want of descriptors or ports here. Taken for a refusal,
+  // that once told that a setup server had died, and its standing calls were given up.
+  void no_connection(ConnId id, GError* error) {
+    const bool refused = g_error_matches(error, G_IO_ERROR, G_IO_ERROR_CONNECTION_REFUSED);
+    const bool reached = refused || g_error_matches(error, G_IO_ERROR, G_IO_ERROR_HOST_UNREACHABLE) ||
+                         g_error_matches(error, G_IO_ERROR, G_IO_ERROR_NETWORK_UNREACHABLE) ||
+                         g_error_matches(error, G_IO_ERROR, G_IO_ERROR_TIMED_OUT);
+    if (!reached) {
+      ++counters.no_descriptor;
+      logger_.line(Level::warning,
+                   "no connection can be made: " + std::string(error != nullptr ? error->message : ""));
+    }
+    g_clear_error(&error);
+    later(ConnectFailed{id, refused, !reached});
+  }
+
   // The runtime's own timers stand under a concern's number with the top bit set.
   static constexpr std::uint64_t kConnectTimer = std::uint64_t{1} << 63;
   static constexpr std::uint64_t kCloseTimer = kConnectTimer | std::uint64_t{1} << 62;
+  static constexpr std::uint64_t kDoorTimer = kConnectTimer | std::uint64_t{1} << 61;
+  // So long a listener is not looked at where there was no room for who came.
+  static constexpr Duration kHeldFor = std::chrono::milliseconds(10);
   // So long a connection that is being closed may take to write what was sent and to hear the other side's
   // end; closed at once with unread input, it would be reset, and the refusal just sent be lost.
   static constexpr Duration kCloseWithin = std::chrono::milliseconds(700);
@@ -388,8 +483,9 @@
     const auto it = connections_.find(e.conn);
     if (it == connections_.end() || it->second->closing) return;
     if (!it->second->out.put(e.bytes)) return overflowed(e.conn);
+    const std::uint64_t begin = it->second->sent;
     it->second->sent += e.bytes.size();
-    if (e.counted) it->second->counted_ends.push_back(it->second->sent);
+    if (e.ticket != 0) it->second->ticketed.push_back({e.ticket, begin, it->second->sent});
     outbound_ += e.bytes.size();
     if (outbound_ > limits_.outbound_all) {
       const auto fullest = std::max_element(
@@ -400,6 +496,28 @@
     dirty_.push_back(e.conn);
   }
 
+  void carry_out(const Recall& e) {
+    const auto it = connections_.find(e.conn);
+    if (it == connections_.end()) return;
+    Connection& c = *it->second;
+    const auto message = std::find_if(c.ticketed.begin(), c.ticketed.end(),
+                                      [&](const auto& m) { return m.ticket == e.ticket; });
+    if (message == c.ticketed.end() || message->begin < c.written()) {  // written, or begun
+      if (!e.otherwise.empty()) carry_out(Send{e.conn, e.otherwise});
+      return;
+    }
+    const std::uint64_t length = message->end - message->begin;
+    c.out.cut(message->begin - c.written(), length);
+    c.sent -= length;
+    outbound_ -= length;
+    for (auto after = c.ticketed.erase(message); after != c.ticketed.end(); ++after) {
+      after->begin -= length;
+      after->end -= length;
+    }
+    ++counters.recalled;
+    later(Recalled{e.conn, e.ticket});
+  }
+
   void overflowed(ConnId id) {
     ++counters.overflowed;
     logger_.line(Level::warning, "a connection is closed: its other side does not read");
@@ -456,11 +574,18 @@
   void carry_out(const CloseQuiet& e) {
     const auto it = connections_.find(e.conn);
     if (it == connections_.end() || it->second->closing) return;
-    int unread = 0;
-    if (ioctl(g_socket_get_fd(it->second->socket.get()), FIONREAD, &unread) == 0 && unread > 0) return;
+    if (has_unread(*it->second)) return;
     later(Closed{e.conn, false});
+    if (e.at_once && it->second->out.empty()) {
+      connections_.erase(it);
+      return;
+    }
     carry_out(Close{e.conn});
   }
+  static bool has_unread(const Connection& c) {
+    int unread = 0;
+    return ioctl(g_socket_get_fd(c.socket.get()), FIONREAD, &unread) == 0 && unread > 0;
+  }
 
   void carry_out(const ArmTimer& e) { arm(Timer{e.at, ++timer_order_, e.key}); }
   void carry_out(const WriteFile& e) {
@@ -491,6 +616,20 @@
     status_ = e.status;
     g_main_loop_quit(loop_);
   }
+  // Answers that were handed over in the last step are written by then, or this is not the last step.
+  void carry_out(const ExitIfQuiet& e) {
+    for (const ConnId id : dirty_) write_some(id);
+    for (const auto& [id, c] : connections_) {
+      if (c->from == nullptr) continue;
+      if (!c->out.empty() || (!c->closing && has_unread(*c))) return;
+    }
+    for (const auto& listener : listeners_) {
+      if (listener->stopped || g_socket_get_socket_type(listener->socket.get()) != G_SOCKET_TYPE_STREAM)
+        continue;
+      if ((g_socket_condition_check(listener->socket.get(), G_IO_IN) & G_IO_IN) != 0) return;
+    }
+    carry_out(Exit{e.status});
+  }
 
   // An event that an effect brings at once is told at the loop's next turn: reducers are not entered twice.
   void later(Event event) {
@@ -523,6 +662,10 @@
       const Time now = clock_now();
       if (timer.at > now) break;
       timers_.pop();
+      if (timer.key.number == kDoorTimer) {
+        open_doors(timer.key.concern);
+        continue;
+      }
       if ((timer.key.number & kCloseTimer) == kCloseTimer) {
         const ConnId id{timer.key.concern, static_cast<std::uint32_t>(timer.key.number)};
         if (const auto it = connections_.find(id); it != connections_.end() && it->second->closing)
@@ -559,9 +702,10 @@
       c.writing.end();
       GError* error = nullptr;
       if (!g_socket_check_connect_result(c.socket.get(), &error)) {
+        const bool refused = g_error_matches(error, G_IO_ERROR, G_IO_ERROR_CONNECTION_REFUSED);
         g_clear_error(&error);
         connections_.erase(it);
-        step(ConnectFailed{id, true});
+        step(ConnectFailed{id, refused});
         return;
       }
       c.connected = true;
@@ -571,29 +715,39 @@
     flush(id);
   }
 
-  void flush(ConnId id) {
+  // Writes what can be written now. False: the connection is of no more use.
+  bool write_some(ConnId id) {
     const auto it = connections_.find(id);
-    if (it == connections_.end() || !it->second->connected) return;
+    if (it == connections_.end() || !it->second->connected) return true;
     Connection& c = *it->second;
     while (!c.out.empty()) {
       const std::string_view bytes = c.out.contents();
       GError* error = nullptr;
       const gssize sent = g_socket_send(c.socket.get(), bytes.data(), bytes.size(), nullptr, &error);
-      if (sent > 0) {
-        counters.bytes_out += static_cast<std::uint64_t>(sent);
-        c.out.drop(static_cast<std::size_t>(sent));
-        outbound_ -= static_cast<std::size_t>(sent);
-        while (!c.counted_ends.empty() && c.counted_ends.front() <= c.sent - c.out.size()) {
-          ++counters.counted_written;
-          c.counted_ends.pop_front();
-        }
-        continue;
+      if (sent <= 0) {
+        const bool wait = g_error_matches(error, G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK);
+        g_clear_error(&error);
+        return wait;
       }
-      const bool wait = g_error_matches(error, G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK);
-      g_clear_error(&error);
-      if (!wait) return lose(id, true);
+      counters.bytes_out += static_cast<std::uint64_t>(sent);
+      c.out.drop(static_cast<std::size_t>(sent));
+      outbound_ -= static_cast<std::size_t>(sent);
+      while (!c.ticketed.empty() && c.ticketed.front().end <= c.written()) {
+        ++counters.counted_written;
+        c.ticketed.pop_front();
+      }
+    }
+    return true;
+  }
+
+  void flush(ConnId id) {
+    const auto it = connections_.find(id);
+    if (it == connections_.end() || !it->second->connected) return;
+    Connection& c = *it->second;
+    if (!write_some(id)) return lose(id, true);
+    if (!c.out.empty()) {
       if (c.out.size() > limits_.outbound_pause)
-        c.reading.end();  // takes no more requests than it reads answers
+        hold_back_reading(c);  // takes no more requests than it reads answers
       if (!c.writing.running()) c.writing.start(watch(c.socket.get(), G_IO_OUT), &Impl::on_writable, &c);
       return;
     }
--- a/src/net/runtime.h
+++ b/src/net/runtime.h
@@ -11,7 +11,7 @@
 namespace graniterun::net {
 
 struct RuntimeLimits {
-  std::size_t connections = 900;               // accepted ones beyond are closed at once
+  std::size_t connections = 900;               // accepted ones; who comes beyond waits to be let in
   std::size_t inbound = 64 * 1024;             // bytes of a connection not consumed yet
   std::size_t outbound = 512 * 1024;           // bytes of a connection not written yet; beyond: it is closed
   std::size_t outbound_all = 4 * 1024 * 1024;  // of all connections together; beyond: the fullest is closed
@@ -23,9 +23,12 @@
   std::uint64_t bytes_in = 0;
   std::uint64_t bytes_out = 0;
   std::uint64_t accepted = 0;
-  std::uint64_t turned_away = 0;
-  std::uint64_t overflowed = 0;       // closed for not reading what was sent
-  std::uint64_t counted_written = 0;  // messages that were to be counted and are written whole
+  std::uint64_t held_at_the_door = 0;  // times that a new connection had to wait to be let in
+  std::uint64_t turned_away = 0;       // at a listener that stands apart
+  std::uint64_t no_descriptor = 0;     // connections that could not be made or taken for want of one
+  std::uint64_t recalled = 0;          // messages taken back before they were written
+  std::uint64_t overflowed = 0;        // closed for not reading what was sent
+  std::uint64_t counted_written = 0;   // messages that were to be counted and are written whole
   std::uint64_t timers = 0;
   std::uint64_t timers_late_5ms = 0;
   std::uint64_t timers_late_20ms = 0;
@@ -37,6 +40,10 @@
 // The Unix clock's time at the start, carried on by the steady clock, so that it never runs backwards.
 Time clock_now();
 
+// Called first of all by a program that is asked to stop or to read its settings again by signals: one that
+// comes before the loop runs waits for it, and is neither lost nor the end.
+void hold_signals();
+
 // Whether the descriptor is a TCP socket that listens.
 bool is_listening_tcp(int descriptor);
 
--- a/tests/lab.h
+++ b/tests/lab.h
@@ -3,6 +3,7 @@
 
 #include <map>
 #include <queue>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -79,10 +80,20 @@
     for (const net::Effect& effect : effects) {
       if (const auto* e = std::get_if<net::Connect>(&effect)) connects.push_back(*e);
       if (const auto* e = std::get_if<net::Send>(&effect)) sent[e->conn] += e->bytes;
+      if (const auto* e = std::get_if<net::Recall>(&effect)) {  // as the runtime does it
+        if (unwritten.contains(e->conn)) {
+          recalled.push_back({e->conn, e->ticket});
+        } else if (!e->otherwise.empty()) {
+          sent[e->conn] += e->otherwise;
+        }
+      }
       if (const auto* e = std::get_if<net::Bind>(&effect)) binds.push_back(*e);
       if (std::holds_alternative<net::Unbind>(effect)) ++unbinds;
       if (const auto* e = std::get_if<net::SendDatagram>(&effect)) datagrams.push_back(*e);
-      if (const auto* e = std::get_if<net::Close>(&effect)) closed.push_back(e->conn);
+      if (const auto* e = std::get_if<net::Close>(&effect)) {
+        closed.push_back(e->conn);
+        closed_unread += e->conn.concern == Concern::platform ? 1 : 0;
+      }
       if (const auto* e = std::get_if<net::Drop>(&effect)) {
         closed.push_back(e->conn);
         dropped.push_back(e->conn);
@@ -91,10 +102,13 @@
       if (const auto* e = std::get_if<net::Listen>(&effect)) listens.push_back(*e);
       if (const auto* e = std::get_if<net::StopListening>(&effect)) stopped_listening.push_back(e->concern);
       if (const auto* e = std::get_if<net::Exit>(&effect)) exit_status = e->status;
+      if (const auto* e = std::get_if<net::ExitIfQuiet>(&effect); e != nullptr && quiet_at_exit)
+        exit_status = e->status;
       if (const auto* e = std::get_if<net::ArmTimer>(&effect)) timers.push({e->at, ++order, e->key});
       if (const auto* e = std::get_if<net::Consume>(&effect)) unread[e->conn].erase(0, e->count);
     }
     if (watch) watch();
+    for (const net::Recalled& e : std::exchange(recalled, {})) tell(e);
     for (const ConnId conn : std::exchange(quiet, {})) {  // as the runtime does it
       closed.push_back(conn);
       tell(net::Closed{conn, false});
@@ -175,8 +189,12 @@
   std::vector<net::Bind> binds;
   int unbinds = 0;
   std::vector<ConnId> closed;
-  std::vector<ConnId> dropped;  // of those, at once
-  std::vector<ConnId> quiet;    // to be closed if nothing unread has come
+  std::size_t closed_unread = 0;        // of those, callers', without a look whether something has come
+  std::vector<ConnId> dropped;          // of those, at once
+  std::vector<ConnId> quiet;            // to be closed if nothing unread has come
+  std::vector<net::Recalled> recalled;  // to be told
+  std::set<ConnId> unwritten;           // nothing that was sent there is written yet: recalls are in time
+  bool quiet_at_exit = true;            // nothing is left to write or to read
   std::vector<net::Listen> listens;
   std::vector<Concern> stopped_listening;
   std::optional<int> exit_status;
--- a/tests/runtime_test.cpp
+++ b/tests/runtime_test.cpp
@@ -1,6 +1,11 @@
 // The runtime itself, on loopback sockets: what its callers can't see.
 #include "net/runtime.h"
 
+#include <sys/resource.h>
+
+#include <optional>
+#include <vector>
+
 #include "net/ring.h"
 #include "stand_in.h"
 
@@ -79,7 +84,7 @@
       if (open.size() < 2) return;
       callers[1].send("unread");  // it is there when the loop looks, since nobody has read yet
       effects.push_back(net::StopListening{net::Concern::platform});
-      effects.push_back(net::Send{open[0], "whole", true});
+      effects.push_back(net::Send{open[0], "whole", 1});
       for (const net::ConnId conn : open) effects.push_back(net::CloseQuiet{conn});
       quiet_asked = true;
     } else if (const auto* gone = std::get_if<net::Closed>(&event)) {
@@ -130,9 +135,319 @@
   CHECK_EQ(common, 2U);
 }
 
+// What the reducer is told in a test that is not over by itself ends here: a hang is a failure, not a wait.
+constexpr net::TimerKey kTooLong{net::Concern::process, 77};
+void end_at_last(Time now, net::Effects& effects) {
+  effects.push_back(net::ArmTimer{kTooLong, now + std::chrono::seconds(20)});
+}
+bool is_too_long(const net::Event& event) {
+  const auto* e = std::get_if<net::TimerFired>(&event);
+  return e != nullptr && e->key.concern == kTooLong.concern && e->key.number == kTooLong.number;
+}
+
+// A caller sends much and closes before any of it is read: its end is told first, or set-ups would be begun
+// for it one read after the other. Every byte is told all the same, and Closed comes last.
+void a_callers_end_is_told_ahead_of_what_is_unread() {
+  const int port = Socket::bound(SOCK_STREAM).port();
+  net::Runtime runtime({}, net::Logger(net::Level::error));
+  constexpr std::size_t kSent = 60'000;
+  std::size_t read = 0;
+  std::optional<std::size_t> read_before;
+  const int status = runtime.run([&](Time now, const net::Event& event, net::Effects& effects) {
+    if (std::holds_alternative<net::Started>(event)) {
+      end_at_last(now, effects);
+      effects.push_back(net::Listen{net::Concern::platform, "127.0.0.1:" + std::to_string(port)});
+      effects.push_back(net::ArmTimer{{net::Concern::platform, 0}, now});
+    } else if (is_too_long(event)) {
+      effects.push_back(net::Exit{1});
+    } else if (std::holds_alternative<net::TimerFired>(event)) {
+      Socket::connected(port).send(std::string(kSent, 'x'));  // and closed before it is accepted
+    } else if (std::holds_alternative<net::PeerClosed>(event)) {
+      read_before = read;
+    } else if (const auto* received = std::get_if<net::Received>(&event)) {
+      read += received->bytes.size();
+      effects.push_back(net::Consume{received->conn, received->bytes.size()});
+    } else if (std::holds_alternative<net::Closed>(event)) {
+      effects.push_back(net::Exit{0});
+    }
+  });
+  CHECK_EQ(status, 0);
+  CHECK_EQ(read, kSent);
+  CHECK(read_before && *read_before < kSent / 2);
+}
+
+// Nothing is read from a caller that does not read its answers; that it has closed its half is told even so.
+void a_callers_end_is_told_while_reading_is_held_back() {
+  const int port = Socket::bound(SOCK_STREAM).port();
+  net::RuntimeLimits limits;
+  limits.outbound = limits.outbound_all = 64 * 1024 * 1024;
+  net::Runtime runtime(limits, net::Logger(net::Level::error));
+  Socket caller;
+  net::ConnId conn{};
+  bool told = false;
+  const int status = runtime.run([&](Time now, const net::Event& event, net::Effects& effects) {
+    if (std::holds_alternative<net::Started>(event)) {
+      end_at_last(now, effects);
+      effects.push_back(net::Listen{net::Concern::platform, "127.0.0.1:" + std::to_string(port)});
+      effects.push_back(net::ArmTimer{{net::Concern::platform, 0}, now});
+    } else if (is_too_long(event)) {
+      effects.push_back(net::Exit{1});
+    } else if (const auto* e = std::get_if<net::TimerFired>(&event); e != nullptr && e->key.number == 0) {
+      caller = Socket::connected(port);
+    } else if (const auto* accepted = std::get_if<net::Accepted>(&event)) {
+      conn = accepted->conn;
+      effects.push_back(net::Send{conn, std::string(32 * 1024 * 1024, 'x')});
+      effects.push_back(net::ArmTimer{{net::Concern::platform, 1}, now});
+    } else if (std::holds_alternative<net::TimerFired>(event)) {
+      caller.send("unread");
+      ::shutdown(caller.descriptor(), SHUT_WR);
+    } else if (std::holds_alternative<net::PeerClosed>(event)) {
+      told = true;
+      effects.push_back(net::Exit{0});
+    }
+  });
+  CHECK_EQ(status, 0);
+  CHECK(told);
+}
+
+// A message that waits behind others for its peer to read can be taken back whole; one of which anything is
+// written can't, and what is to follow it then is sent.
+void a_message_is_taken_back_before_it_is_written() {
+  const Socket listening = Socket::bound(SOCK_STREAM);
+  net::RuntimeLimits limits;
+  limits.outbound = limits.outbound_all = 64 * 1024 * 1024;
+  net::Runtime runtime(limits, net::Logger(net::Level::error));
+  const net::ConnId conn{net::Concern::server, 1};
+  Socket server;
+  std::string heard;
+  bool recalled = false;
+  const std::size_t much = 16 * 1024 * 1024;
+  const int status = runtime.run([&](Time now, const net::Event& event, net::Effects& effects) {
+    if (std::holds_alternative<net::Started>(event)) {
+      end_at_last(now, effects);
+      effects.push_back(
+          net::Connect{conn, "127.0.0.1:" + std::to_string(listening.port()), std::chrono::seconds(9)});
+    } else if (is_too_long(event)) {
+      effects.push_back(net::Exit{1});
+    } else if (std::holds_alternative<net::Connected>(event)) {
+      server = listening.accept();
+      effects.push_back(net::Send{conn, "<first>", 1});  // written at once
+      effects.push_back(net::ArmTimer{{net::Concern::server, 0}, now});
+    } else if (const auto* e = std::get_if<net::TimerFired>(&event)) {
+      if (e->key.number == 0) {
+        effects.push_back(net::Recall{conn, 1, "<cancel first>"});
+        effects.push_back(net::Send{conn, std::string(much, 'x')});
+        effects.push_back(net::Send{conn, "<second>", 2});
+        effects.push_back(net::Send{conn, "<third>", 3});
+        effects.push_back(net::ArmTimer{{net::Concern::server, 1}, now});
+      } else if (e->key.number == 1) {
+        effects.push_back(net::Recall{conn, 2, "<cancel second>"});
+        effects.push_back(net::Send{conn, "<end>"});
+        effects.push_back(net::ArmTimer{{net::Concern::server, 2}, now});
+      } else {
+        heard += server.some(1 << 20);
+        if (!heard.ends_with("<end>"))
+          return effects.push_back(
+              net::ArmTimer{{net::Concern::server, 2}, now + std::chrono::milliseconds(1)});
+        effects.push_back(net::Exit{0});
+      }
+    } else if (const auto* back = std::get_if<net::Recalled>(&event)) {
+      recalled = back->ticket == 2;
+    }
+  });
+  CHECK_EQ(status, 0);
+  CHECK(recalled);
+  CHECK(heard == "<first><cancel first>" + std::string(much, 'x') + "<third><end>");
+  CHECK_EQ(runtime.counters().counted_written, 2U);
+  CHECK_EQ(runtime.counters().recalled, 1U);
+}
+
+// Who comes while all places are taken is let in when one is free; it was closed at once, with its request.
+void who_finds_no_place_waits_at_the_door() {
+  const int port = Socket::bound(SOCK_STREAM).port();
+  net::RuntimeLimits limits;
+  limits.connections = 2;
+  net::Runtime runtime(limits, net::Logger(net::Level::error));
+  std::vector<Socket> callers;
+  std::size_t heard = 0;
+  std::size_t most = 0;
+  std::size_t open = 0;
+  const int status = runtime.run([&](Time now, const net::Event& event, net::Effects& effects) {
+    if (std::holds_alternative<net::Started>(event)) {
+      end_at_last(now, effects);
+      effects.push_back(net::Listen{net::Concern::platform, "127.0.0.1:" + std::to_string(port)});
+      effects.push_back(net::ArmTimer{{net::Concern::platform, 0}, now});
+    } else if (is_too_long(event)) {
+      effects.push_back(net::Exit{1});
+    } else if (std::holds_alternative<net::TimerFired>(event)) {
+      for (int i = 0; i < 6; ++i) {
+        callers.push_back(Socket::connected(port));
+        callers.back().send("request");
+      }
+    } else if (std::holds_alternative<net::Accepted>(event)) {
+      most = std::max(most, ++open);
+    } else if (const auto* received = std::get_if<net::Received>(&event)) {
+      CHECK_EQ(received->bytes, "request");
+      effects.push_back(net::Consume{received->conn, received->bytes.size()});
+      effects.push_back(net::Send{received->conn, "answer"});
+      effects.push_back(net::Drop{received->conn});
+      --open;
+      if (++heard == callers.size()) effects.push_back(net::Exit{0});
+    }
+  });
+  CHECK_EQ(status, 0);
+  CHECK_EQ(most, 2U);
+  for (Socket& caller : callers) CHECK_EQ(caller.until("answer"), "answer");
+  CHECK(runtime.counters().held_at_the_door > 0);
+}
+
+// With every descriptor taken a connect says that it is for want of one, a caller waits at the door without
+// the loop spinning on it, and is let in afterwards.
+void a_want_of_descriptors_is_told_and_passes() {
+  const int port = Socket::bound(SOCK_STREAM).port();
+  net::Runtime runtime({}, net::Logger(net::Level::error));
+  std::vector<Socket> taken;
+  std::vector<Socket> callers;
+  bool local = false;
+  bool freed = false;
+  bool let_in = false;
+  const int status = runtime.run([&](Time now, const net::Event& event, net::Effects& effects) {
+    if (std::holds_alternative<net::Started>(event)) {
+      end_at_last(now, effects);
+      effects.push_back(net::Listen{net::Concern::platform, "127.0.0.1:" + std::to_string(port)});
+      effects.push_back(net::ArmTimer{{net::Concern::platform, 0}, now});
+    } else if (is_too_long(event)) {
+      effects.push_back(net::Exit{1});
+    } else if (const auto* e = std::get_if<net::TimerFired>(&event); e != nullptr && e->key.number == 0) {
+      callers.push_back(Socket::connected(port));
+      rlimit most{};
+      ::getrlimit(RLIMIT_NOFILE, &most);
+      const rlimit few{256, most.rlim_max};
+      ::setrlimit(RLIMIT_NOFILE, &few);
+      for (int fd = ::dup(0); fd >= 0; fd = ::dup(0)) taken.emplace_back(fd);
+      ::setrlimit(RLIMIT_NOFILE, &most);
+      const rlimit now_taken{static_cast<rlim_t>(256), most.rlim_max};
+      ::setrlimit(RLIMIT_NOFILE, &now_taken);
+      effects.push_back(net::Connect{
+          {net::Concern::server, 1}, "127.0.0.1:" + std::to_string(port), std::chrono::seconds(9)});
+      effects.push_back(net::ArmTimer{{net::Concern::platform, 1}, now + std::chrono::milliseconds(100)});
+    } else if (e != nullptr) {
+      freed = true;
+      taken.clear();
+    } else if (const auto* failed = std::get_if<net::ConnectFailed>(&event)) {
+      local = failed->local && !failed->refused;
+    } else if (std::holds_alternative<net::Accepted>(event)) {
+      let_in = freed;
+      effects.push_back(net::Exit{0});
+    }
+  });
+  CHECK_EQ(status, 0);
+  CHECK(local && let_in);
+  CHECK(runtime.counters().no_descriptor >= 2 && runtime.counters().no_descriptor < 100);
+}
+
+// The end is put off while answers are not written: its caller gets every byte.
+void the_end_waits_for_what_is_not_written() {
+  const int port = Socket::bound(SOCK_STREAM).port();
+  net::RuntimeLimits limits;
+  limits.outbound = limits.outbound_all = 64 * 1024 * 1024;
+  net::Runtime runtime(limits, net::Logger(net::Level::error));
+  constexpr std::size_t kMuch = 16 * 1024 * 1024;
+  Socket caller;
+  std::size_t got = 0;
+  bool put_off = false;
+  const int status = runtime.run([&](Time now, const net::Event& event, net::Effects& effects) {
+    if (std::holds_alternative<net::Started>(event)) {
+      end_at_last(now, effects);
+      effects.push_back(net::Listen{net::Concern::platform, "127.0.0.1:" + std::to_string(port)});
+      effects.push_back(net::ArmTimer{{net::Concern::platform, 0}, now});
+    } else if (is_too_long(event)) {
+      effects.push_back(net::Exit{1});
+    } else if (const auto* e = std::get_if<net::TimerFired>(&event)) {
+      if (e->key.number == 0) {
+        caller = Socket::connected(port);
+        return;
+      }
+      put_off = got > 0;
+      got += caller.some(1 << 20).size();
+      effects.push_back(net::ExitIfQuiet{0});
+      effects.push_back(net::ArmTimer{{net::Concern::platform, 1}, now + std::chrono::milliseconds(1)});
+    } else if (const auto* accepted = std::get_if<net::Accepted>(&event)) {
+      effects.push_back(net::Send{accepted->conn, std::string(kMuch, 'x')});
+      effects.push_back(net::ExitIfQuiet{0});
+      effects.push_back(net::ArmTimer{{net::Concern::platform, 1}, now + std::chrono::milliseconds(1)});
+    }
+  });
+  CHECK_EQ(status, 0);
+  CHECK(put_off);
+  while (got < kMuch) {
+    const std::size_t more = caller.some(1 << 20).size();
+    CHECK(more > 0);
+    got += more;
+  }
+}
+
+// And for what has come in the instant of the end, on an open connection or as a new one.
+void the_end_waits_for_what_has_just_come() {
+  const int port = Socket::bound(SOCK_STREAM).port();
+  net::Runtime runtime({}, net::Logger(net::Level::error));
+  std::vector<Socket> callers;
+  std::string asked;
+  const int status = runtime.run([&](Time now, const net::Event& event, net::Effects& effects) {
+    if (std::holds_alternative<net::Started>(event)) {
+      end_at_last(now, effects);
+      effects.push_back(net::Listen{net::Concern::platform, "127.0.0.1:" + std::to_string(port)});
+      effects.push_back(net::ArmTimer{{net::Concern::platform, 0}, now});
+    } else if (is_too_long(event)) {
+      effects.push_back(net::Exit{1});
+    } else if (std::holds_alternative<net::TimerFired>(event)) {
+      callers.push_back(Socket::connected(port));
+    } else if (std::holds_alternative<net::Accepted>(event)) {
+      if (callers.size() > 1) return;
+      callers[0].send("late");
+      callers.push_back(Socket::connected(port));
+      callers[1].send("last");
+      effects.push_back(net::ExitIfQuiet{0});
+    } else if (const auto* received = std::get_if<net::Received>(&event)) {
+      asked += received->bytes;
+      effects.push_back(net::Consume{received->conn, received->bytes.size()});
+      effects.push_back(net::ExitIfQuiet{0});  // the other is still to be read
+    }
+  });
+  CHECK_EQ(status, 0);
+  CHECK(asked == "latelast" || asked == "lastlate");
+}
+
+// SIGTERM and SIGHUP that come before the loop runs: the one ended the program as a signal does, the other
+// was lost and the program went on by settings that had been replaced.
+void signals_before_the_loop_are_not_lost() {
+  net::hold_signals();
+  ::raise(SIGHUP);
+  ::raise(SIGTERM);
+  net::Runtime runtime({}, net::Logger(net::Level::error));
+  bool reload = false;
+  bool stop = false;
+  const int status = runtime.run([&](Time now, const net::Event& event, net::Effects& effects) {
+    if (std::holds_alternative<net::Started>(event)) end_at_last(now, effects);
+    reload = reload || std::holds_alternative<net::ReloadAsked>(event);
+    stop = stop || std::holds_alternative<net::StopAsked>(event);
+    if (is_too_long(event)) effects.push_back(net::Exit{1});
+    if (reload && stop) effects.push_back(net::Exit{0});
+  });
+  CHECK_EQ(status, 0);
+}
+
 }  // namespace
 
 int main() {
+  signals_before_the_loop_are_not_lost();
+  a_callers_end_is_told_ahead_of_what_is_unread();
+  a_callers_end_is_told_while_reading_is_held_back();
+  a_message_is_taken_back_before_it_is_written();
+  who_finds_no_place_waits_at_the_door();
+  a_want_of_descriptors_is_told_and_passes();
+  the_end_waits_for_what_is_not_written();
+  the_end_waits_for_what_has_just_come();
   a_listening_socket_is_told_from_others();
   an_inherited_socket_is_shared();
   connections_that_stand_apart_have_a_bound_of_their_own();
--- a/tests/stand_in.h
+++ b/tests/stand_in.h
@@ -110,6 +110,13 @@
     buffer_.erase(0, static_cast<std::size_t>(length));
     return head;
   }
+  // What is there now, up to so many bytes; nothing is waited for.
+  std::string some(std::size_t most) const {
+    std::string text(most, '\0');
+    const ssize_t got = ::recv(fd_, text.data(), text.size(), MSG_DONTWAIT);
+    text.resize(got > 0 ? static_cast<std::size_t>(got) : 0);
+    return text;
+  }
   bool ends() {  // the other side has closed, and sent no more
     while (read_some()) {
     }
