--- a/src/core/broker.cpp
+++ b/src/core/broker.cpp
@@ -14,7 +14,8 @@
 constexpr double kColdLeast = 4.0;
 // Release guards of calls that are over, at most: some tens of thousands of calls a second would be needed.
 constexpr std::size_t kMostGuards = 16384;
-// Advice to a caller whose request came to nothing, where the module gives none.
+// Advice to a caller whose request came to nothing, where the module gives none and the settings allow as
+// much.
 constexpr Duration kStayAway = 500ms;
 
 bool leaves_traces(Outcome outcome) {
@@ -97,7 +98,7 @@
     counters_.add("broker.over_budget");
     return turn_down(true, Why::over_budget, *terms.over_budget);
   }
-  if (call.deadline <= now_) return turn_down(false, Why::overdue, kStayAway);
+  if (call.deadline <= now_) return turn_down(false, Why::overdue, stay_away());
   alarm(call.deadline, {Alarm::Kind::deadline, e.request.call, {}});
   NewCall query;
   query.call = e.request.call;
@@ -174,7 +175,7 @@
     counters_.add("broker.attempts_ended");
     // A success that crossed our giving up stood at the server for a moment: a further attempt might ring the
     // callee twice, so there is none.
-    if (e.crossed && !call->answered) answer(*call, false, false, Why::crossed, kStayAway, {});
+    if (e.crossed && !call->answered) answer(*call, false, false, Why::crossed, stay_away(), {});
   }
   AttemptEnded ended;
   ended.call = e.call;
@@ -220,7 +221,7 @@
     call.most_attempts = call.attempts;
     return;
   }
-  answer(call, false, false, Why::crossed, kStayAway, {});
+  answer(call, false, false, Why::crossed, stay_away(), {});
   tell_module(CallerLeft{id});
   settle_module();
   forget_if_over(id);
@@ -253,7 +254,7 @@
     if (call == nullptr || call->answered) continue;
     counters_.add("broker.given_up_at_the_end");
     // One that was never sent on may be tried again elsewhere at once.
-    answer(*call, false, call->attempts == 0, Why::stopping, kStayAway, {});
+    answer(*call, false, call->attempts == 0, Why::stopping, stay_away(), {});
     tell_module(CallerLeft{id});
     settle_module();
     forget_if_over(id);
@@ -311,7 +312,7 @@
   Call* left = find(id);
   if (left == nullptr) return;
   if (!left->answered) {
-    answer(*left, false, false, Why::overdue, kStayAway, {});
+    answer(*left, false, false, Why::overdue, stay_away(), {});
     tell_module(CallerLeft{id});  // what it still holds for the call is void
   }
   settle_module();
@@ -443,7 +444,7 @@
 
 void Broker::act(const Fail& a) {
   if (Call* call = find(a.call); call != nullptr && !call->answered) {
-    answer(*call, false, false, now_ >= call->deadline ? Why::overdue : Why::no_success, kStayAway, {});
+    answer(*call, false, false, now_ >= call->deadline ? Why::overdue : Why::no_success, stay_away(), {});
     forget_if_over(a.call);
   }
 }
@@ -510,6 +511,10 @@
   emit(SetAlarm{at, last_alarm_});
 }
 
+Duration Broker::stay_away() const {
+  return settings_.max_stay_away > Duration{} ? std::min(kStayAway, settings_.max_stay_away) : kStayAway;
+}
+
 Broker::Call* Broker::find(CallId id) {
   const auto it = calls_.find(id);
   return it == calls_.end() ? nullptr : &it->second;
--- a/src/core/broker.h
+++ b/src/core/broker.h
@@ -279,6 +279,7 @@
   void record(Call& call, std::optional<Outcome> outcome);
   void forget_if_over(CallId id);
   void alarm(Time at, Alarm alarm);
+  Duration stay_away() const;
   Call* find(CallId id);
   void emit(Effect effect) { effects_->push_back(std::move(effect)); }
 
--- a/tests/broker_test.cpp
+++ b/tests/broker_test.cpp
@@ -260,6 +260,26 @@
   CHECK(sent_of_40(false) <= 16);
 }
 
+// Another customer's callers heed no longer advice than this: they were told 500 ms all the same.
+void no_advice_is_longer_than_the_settings_allow() {
+  const auto mute = [](Time, const Event&, std::vector<Action>&) {};
+  for (const auto& [most, wanted] : {std::pair(2000ms, 500ms), std::pair(150ms, 150ms)}) {
+    Settings settings = config_for_tests().settings;
+    settings.max_stay_away = most;
+    Counters counters;
+    core::Broker broker(settings, mute, core::Contracts{}, counters);
+    core::Effects effects;
+    broker.step(kStart, request(1, kStart + 5s), effects);
+    effects.clear();
+    broker.step(kStart + 100ms, core::Stopping{}, effects);
+    Duration told{};
+    for (const core::Effect& effect : effects) {
+      if (const auto* e = std::get_if<core::TurnDown>(&effect)) told = e->wait;
+    }
+    CHECK(told == wanted);
+  }
+}
+
 void budgets_are_kept_and_fill_again() {
   core::Contract contract;
   contract.team = "guides";
@@ -307,6 +327,7 @@
   a_module_gone_wild_breaks_no_rule();
   the_wait_that_a_full_server_tells_reaches_the_module();
   cold_servers_get_more_once_they_answer();
+  no_advice_is_longer_than_the_settings_allow();
   budgets_are_kept_and_fill_again();
   the_example_deploy_file_is_read();
 }
--- a/tests/crossings_process_test.cpp
+++ b/tests/crossings_process_test.cpp
@@ -47,7 +47,8 @@
   held.clear();
   std::vector<std::unique_ptr<Program>> programs;
   for (int i = 0; i < 20; ++i) {
-    const json config = config_for(ports[static_cast<std::size_t>(i)], server.listener.port(), discovery.port());
+    const json config =
+        config_for(ports[static_cast<std::size_t>(i)], server.listener.port(), discovery.port());
     programs.push_back(std::make_unique<Program>(binary, config.dump()));
   }
   for (const int port : ports) {
--- a/tests/sip_test.cpp
+++ b/tests/sip_test.cpp
@@ -350,6 +350,48 @@
   CHECK_EQ(lab.messages(dialled).at(0).method, "BYE");
 }
 
+// A caller whose stream ends, or its half, has gone as one that cancels: its attempt is called off, one that
+// waits does not begin, and an INVITE read after its half close is nobody's. It went on for a caller long
+// gone.
+void a_caller_that_closes_its_stream_has_gone() {
+  for (const bool half : {false, true}) {
+    for (const bool waits : {false, true}) {
+      SipLab lab;
+      Caller caller;
+      caller.transport = "TCP";
+      const ConnId stream{Concern::sip, 1};
+      lab.tell(net::Accepted{stream});
+      lab.receive(stream, caller.text("INVITE", 1, "offer"));
+      const auto [conn, invite] = lab.at_server();
+      if (waits) {
+        lab.receive(conn, server_answer(invite, 504));
+        lab.messages(conn);
+        lab.pass(50ms);
+      }
+      lab.take(stream);
+      if (half) {
+        lab.tell(net::PeerClosed{stream});
+        CHECK_EQ(lab.messages(stream).at(0).status, 487);
+        Caller second;
+        second.transport = "TCP";
+        second.call_id = "second";
+        second.branch = "z9hG4bKsecond";
+        lab.receive(stream, second.text("INVITE", 1, "offer"));
+        CHECK_EQ(lab.messages(stream).at(0).status, 487);
+      } else {
+        lab.tell(net::Closed{stream, false});
+      }
+      if (!waits) CHECK_EQ(lab.messages(conn).at(0).method, "CANCEL");
+      for (int i = 0; i < 40; ++i) {
+        lab.pass(100ms);
+        for (const ConnId server : {lab.s0, lab.s1}) {
+          for (const sip::Message& m : lab.messages(server)) CHECK(m.method != "INVITE");
+        }
+      }
+    }
+  }
+}
+
 // Callers that send, repeat, cancel and acknowledge at random, and servers that answer or not: each call gets
 // one final answer by its deadline, one attempt is out, and a call is not sent again within 200 ms.
 void random_steps_keep_the_rules() {
@@ -467,5 +509,6 @@
   merged_and_reinvited();
   what_is_not_understood_is_answered();
   a_call_over_tcp_outlives_its_connection();
+  a_caller_that_closes_its_stream_has_gone();
   random_steps_keep_the_rules();
 }
