--- a/tests/crossings_test.cpp
+++ b/tests/crossings_test.cpp
@@ -45,6 +45,27 @@
   CHECK_EQ(invites(lab, lab.s0) + invites(lab, lab.s1), 0U);
 }
 
+// Each of many calls on the one connection is called off, and none of another caller's.
+void all_calls_of_a_closed_connection_are_called_off() {
+  Ready lab(1);
+  const ConnId other{Concern::platform, 2};
+  lab.tell(net::Accepted{other});
+  lab.receive(other, set_up("00000000000000ff"));
+  std::string all;
+  for (int i = 10; i < 30; ++i) all += set_up("00000000000000" + std::to_string(i));
+  lab.receive(kCaller, all);
+  const std::size_t begun = invites(lab, lab.s0);
+  CHECK(begun > 10);
+  lab.tell(net::PeerClosed{kCaller});
+  std::size_t called_off = 0;
+  for (const sip::Message& m : lab.messages(lab.s0)) {
+    CHECK_EQ(m.method, "CANCEL");
+    CHECK(m.header("Call-ID") != "00000000000000ff");
+    ++called_off;
+  }
+  CHECK_EQ(called_off, begun - 1);
+}
+
 // The call waits for the release guard, or for the module's next offer, or for a connection: gone in between,
 // it is not sent when the wait ends. Told by a cancel or a close.
 void no_attempt_begins_for_who_left_while_it_waited() {
@@ -310,6 +331,22 @@
   CHECK_EQ(stuck.exit_status.value_or(-1), 0);
 }
 
+// A line in pieces across SIGTERM, its end coming while requests still may.
+void a_line_in_pieces_across_the_stop_is_served() {
+  Ready lab;
+  const std::string line = set_up();
+  lab.receive(kCaller, line.substr(0, line.size() / 2));
+  lab.tell(net::StopAsked{});
+  lab.pass(550ms);
+  lab.receive(kCaller, line.substr(line.size() / 2));
+  const sip::Message invite = lab.invite(lab.s0);
+  lab.pass(700ms);
+  CHECK(!lab.exit_status);
+  lab.receive(lab.s0, server_answer(invite, 200, "a"));
+  CHECK_EQ(lab.line().type, "answer");
+  CHECK_EQ(lab.exit_status.value_or(-1), 0);
+}
+
 void a_stop_before_it_is_ready_ends_it() {
   PlatformConfig config = config_for_tests();
   config.known.clear();
@@ -465,6 +502,7 @@
 
 int main() {
   a_caller_that_closed_has_gone_whatever_is_left_to_read();
+  all_calls_of_a_closed_connection_are_called_off();
   no_attempt_begins_for_who_left_while_it_waited();
   an_invite_not_written_yet_is_taken_back();
   a_set_up_that_comes_again_after_a_close_keeps_the_guard();
@@ -476,6 +514,7 @@
   all_are_answered_before_the_end();
   short_deadlines_end_it_sooner();
   the_end_waits_for_what_is_unread_or_unwritten();
+  a_line_in_pieces_across_the_stop_is_served();
   a_stop_before_it_is_ready_ends_it();
   an_old_process_answers_before_it_is_killed();
   an_event_that_never_ends_is_given_up();
