--- a/tests/crossings_test.cpp
+++ b/tests/crossings_test.cpp
@@ -302,7 +302,7 @@
   lab.tell(net::StopAsked{});
   lab.tell(net::StopAsked{});  // a second one changes nothing
   lab.pass(600ms);
-  lab.receive(kCaller, set_up(kId, 800));
+  lab.receive(kCaller, set_up(kId, 9000));  // longer than there is
   CHECK_EQ(invites(lab, s0), 1U);
   lab.pass(850ms);  // 1.45 of 1.5 s
   CHECK_EQ(lab.lines(kCaller).size(), 1U);
