--- a/src/back/journal.cpp
+++ b/src/back/journal.cpp
@@ -141,20 +141,17 @@
   std::from_chars(event.id.data(), event.id.data() + event.id.size(), position);
   if (position != 0 && position <= position_) return true;  // told before
   counters_.add("journal.events");
-  if (event.data.empty()) {  // it tells nothing but how far the service is
-    if (position != 0) position_ = position;
-    return true;
-  }
-  const auto data = nlohmann::json::parse(event.data, nullptr, false);
   try {
-    if (!data.is_object()) throw BadConfig("an event of the journal is no JSON object");
-    if (data.contains("hosts")) news_.push_back(read_hosts(data["hosts"]));
+    if (!event.data.empty()) {  // else it tells only how far the service is
+      const auto data = nlohmann::json::parse(event.data, nullptr, false);
+      if (!data.is_object()) throw BadConfig("an event of the journal is no JSON object");
+      if (data.contains("hosts")) news_.push_back(read_hosts(data["hosts"]));
+    }
   } catch (const BadConfig& trouble) {
     counters_.add("journal.malformed");
     out.log(net::Level::warning, trouble.what());
-    const std::uint64_t wanted = position_;
-    if (asked_again_for_ != wanted) {
-      asked_again_for_ = wanted;
+    if (asked_again_after_ != position_) {
+      asked_again_after_ = position_;
       return false;
     }
     counters_.add("journal.events_passed_over");
--- a/src/back/journal.h
+++ b/src/back/journal.h
@@ -46,8 +46,8 @@
   std::optional<http::Body> body_{};
   std::string text_{};
   std::optional<Time> half_since_{};  // a head or an event has begun and is not whole
-  std::optional<std::uint64_t>
-      asked_again_for_{};  // the event that could not be read, and was asked for anew
+  // The position after which an event could not be read, and was asked for anew.
+  std::optional<std::uint64_t> asked_again_after_{};
   std::vector<HostList> news_{};
 };
 
--- a/tests/runtime_test.cpp
+++ b/tests/runtime_test.cpp
@@ -145,6 +145,19 @@
   return e != nullptr && e->key.concern == kTooLong.concern && e->key.number == kTooLong.number;
 }
 
+// The frame of a test with callers: it listens at the start, a timer 0 follows, and a hang ends it.
+bool begins_or_ends(Time now, const net::Event& event, int port, net::Effects& effects) {
+  if (std::holds_alternative<net::Started>(event)) {
+    end_at_last(now, effects);
+    effects.push_back(net::Listen{net::Concern::platform, "127.0.0.1:" + std::to_string(port)});
+    effects.push_back(net::ArmTimer{{net::Concern::platform, 0}, now});
+    return true;
+  }
+  if (!is_too_long(event)) return false;
+  effects.push_back(net::Exit{1});
+  return true;
+}
+
 // A caller sends much and closes before any of it is read: its end is told first, or set-ups would be begun
 // for it one read after the other. Every byte is told all the same, and Closed comes last.
 void a_callers_end_is_told_ahead_of_what_is_unread() {
@@ -154,13 +167,8 @@
   std::size_t read = 0;
   std::optional<std::size_t> read_before;
   const int status = runtime.run([&](Time now, const net::Event& event, net::Effects& effects) {
-    if (std::holds_alternative<net::Started>(event)) {
-      end_at_last(now, effects);
-      effects.push_back(net::Listen{net::Concern::platform, "127.0.0.1:" + std::to_string(port)});
-      effects.push_back(net::ArmTimer{{net::Concern::platform, 0}, now});
-    } else if (is_too_long(event)) {
-      effects.push_back(net::Exit{1});
-    } else if (std::holds_alternative<net::TimerFired>(event)) {
+    if (begins_or_ends(now, event, port, effects)) return;
+    if (std::holds_alternative<net::TimerFired>(event)) {
       Socket::connected(port).send(std::string(kSent, 'x'));  // and closed before it is accepted
     } else if (std::holds_alternative<net::PeerClosed>(event)) {
       read_before = read;
@@ -186,13 +194,8 @@
   net::ConnId conn{};
   bool told = false;
   const int status = runtime.run([&](Time now, const net::Event& event, net::Effects& effects) {
-    if (std::holds_alternative<net::Started>(event)) {
-      end_at_last(now, effects);
-      effects.push_back(net::Listen{net::Concern::platform, "127.0.0.1:" + std::to_string(port)});
-      effects.push_back(net::ArmTimer{{net::Concern::platform, 0}, now});
-    } else if (is_too_long(event)) {
-      effects.push_back(net::Exit{1});
-    } else if (const auto* e = std::get_if<net::TimerFired>(&event); e != nullptr && e->key.number == 0) {
+    if (begins_or_ends(now, event, port, effects)) return;
+    if (const auto* e = std::get_if<net::TimerFired>(&event); e != nullptr && e->key.number == 0) {
       caller = Socket::connected(port);
     } else if (const auto* accepted = std::get_if<net::Accepted>(&event)) {
       conn = accepted->conn;
@@ -273,13 +276,8 @@
   std::size_t most = 0;
   std::size_t open = 0;
   const int status = runtime.run([&](Time now, const net::Event& event, net::Effects& effects) {
-    if (std::holds_alternative<net::Started>(event)) {
-      end_at_last(now, effects);
-      effects.push_back(net::Listen{net::Concern::platform, "127.0.0.1:" + std::to_string(port)});
-      effects.push_back(net::ArmTimer{{net::Concern::platform, 0}, now});
-    } else if (is_too_long(event)) {
-      effects.push_back(net::Exit{1});
-    } else if (std::holds_alternative<net::TimerFired>(event)) {
+    if (begins_or_ends(now, event, port, effects)) return;
+    if (std::holds_alternative<net::TimerFired>(event)) {
       for (int i = 0; i < 6; ++i) {
         callers.push_back(Socket::connected(port));
         callers.back().send("request");
@@ -312,13 +310,8 @@
   bool freed = false;
   bool let_in = false;
   const int status = runtime.run([&](Time now, const net::Event& event, net::Effects& effects) {
-    if (std::holds_alternative<net::Started>(event)) {
-      end_at_last(now, effects);
-      effects.push_back(net::Listen{net::Concern::platform, "127.0.0.1:" + std::to_string(port)});
-      effects.push_back(net::ArmTimer{{net::Concern::platform, 0}, now});
-    } else if (is_too_long(event)) {
-      effects.push_back(net::Exit{1});
-    } else if (const auto* e = std::get_if<net::TimerFired>(&event); e != nullptr && e->key.number == 0) {
+    if (begins_or_ends(now, event, port, effects)) return;
+    if (const auto* e = std::get_if<net::TimerFired>(&event); e != nullptr && e->key.number == 0) {
       callers.push_back(Socket::connected(port));
       rlimit most{};
       ::getrlimit(RLIMIT_NOFILE, &most);
@@ -357,13 +350,8 @@
   std::size_t got = 0;
   bool put_off = false;
   const int status = runtime.run([&](Time now, const net::Event& event, net::Effects& effects) {
-    if (std::holds_alternative<net::Started>(event)) {
-      end_at_last(now, effects);
-      effects.push_back(net::Listen{net::Concern::platform, "127.0.0.1:" + std::to_string(port)});
-      effects.push_back(net::ArmTimer{{net::Concern::platform, 0}, now});
-    } else if (is_too_long(event)) {
-      effects.push_back(net::Exit{1});
-    } else if (const auto* e = std::get_if<net::TimerFired>(&event)) {
+    if (begins_or_ends(now, event, port, effects)) return;
+    if (const auto* e = std::get_if<net::TimerFired>(&event)) {
       if (e->key.number == 0) {
         caller = Socket::connected(port);
         return;
@@ -390,13 +378,8 @@
   std::vector<Socket> callers;
   std::string asked;
   const int status = runtime.run([&](Time now, const net::Event& event, net::Effects& effects) {
-    if (std::holds_alternative<net::Started>(event)) {
-      end_at_last(now, effects);
-      effects.push_back(net::Listen{net::Concern::platform, "127.0.0.1:" + std::to_string(port)});
-      effects.push_back(net::ArmTimer{{net::Concern::platform, 0}, now});
-    } else if (is_too_long(event)) {
-      effects.push_back(net::Exit{1});
-    } else if (std::holds_alternative<net::TimerFired>(event)) {
+    if (begins_or_ends(now, event, port, effects)) return;
+    if (std::holds_alternative<net::TimerFired>(event)) {
       callers.push_back(Socket::connected(port));
     } else if (std::holds_alternative<net::Accepted>(event)) {
       if (callers.size() > 1) return;
