Write the lines of configuration, and read them within strict bounds

The codec of docs/design/distribution.md: gatekeepers', distributors' and operators' lines, the saved records, and the one form of a patch.

--- a/src/control/config_lines.h
+++ b/src/control/config_lines.h
@@ -12,6 +12,14 @@
 
 namespace graniterun::control {
 
+constexpr std::size_t kLongestGatekeeper = 255;  // bytes of a gatekeeper's or distributor's name; 1 at least
+constexpr std::size_t kToldReason = 500;         // bytes of a refusal's reason that are told; the rest is cut
+constexpr std::size_t kLongestReason = 2048;     // that are taken; a byte that is no UTF-8 is told as three
+constexpr int kDeepestPatch = 64;                // objects and lists within each other
+
+std::string_view word_of(distribution::Standing standing);  // new, recovering, voting
+bool is_gatekeeper(std::string_view name);                  // its length, and no control characters
+
 // ---- from whoever connected, to a distributor
 
 nlohmann::json subscribe_line(const std::string& name, const std::vector<distribution::Noticed::Entry>& held,
@@ -49,7 +57,11 @@
 std::map<std::string, distribution::Record> records_in(std::string_view text);
 
 // A JSON merge patch in its one form: no white space, keys sorted. Throws BadLine where it is no JSON object,
-// or sets anything but `settings` and `journal`.
+// sets anything but `settings` and `journal`, or is nested deeper than kDeepestPatch.
 std::string canonical_patch(std::string_view text);
 
+// Why a content in that form can't be published for the service, in a few words: its name, its size, a line
+// of it that would pass kLineBound. Empty: it can.
+std::string trouble_with(std::string_view service, std::string_view content);
+
 }  // namespace graniterun::control
