--- a/src/cli/graniterunctl.cpp
+++ b/src/cli/graniterunctl.cpp
@@ -1,11 +1,13 @@
 // graniterunctl: announces and lifts call gaps, lists and watches them, at many gatekeepers or an announcer;
-// tells what each gatekeeper knows of its fleet.
+// tells what each gatekeeper knows of its fleet; publishes configuration and tells how far it has come.
 #include <unistd.h>
 
 #include <CLI/CLI.hpp>
 #include <csignal>
+#include <fstream>
 #include <iostream>
 
+#include "control/config_ctl.h"
 #include "control/ctl.h"
 #include "net/runtime.h"
 
@@ -23,6 +25,15 @@
     "calls.\n"
     "Exit status: 0 all obey, 1 some do not, 2 the call was wrong, 3 nobody was reached.";
 
+const char* const kConfigFooter =
+    "To change the configuration of one service's gatekeepers, and see that all have it in force:\n"
+    "  graniterunctl config publish trail --file trail.json --to 10.0.0.1:7800,10.0.0.2:7800\n"
+    "  graniterunctl config status trail --to 10.0.0.1:7800,10.0.0.2:7800\n"
+    "To go back, publish the old content again: it gets a new number.\n"
+    "--to names all distributors; GRANITERUN_DISTRIBUTORS holds them for all calls.\n"
+    "Exit status: 0 in force at all, 1 not at all of them, refused or not known, 2 the call was wrong, 3 no "
+    "distributor was reached.";
+
 std::string user() {
   const char* name = std::getenv("USER");
   return name != nullptr ? name : "operator";
@@ -90,8 +101,97 @@
   return a;
 }
 
+struct ConfigOptions {
+  std::vector<std::string> to{};
+  std::string service{};
+  std::string file{};
+  std::string text{};
+  std::string within{"6s"};
+  std::string wait_for{"in-force"};
+  bool json = false;
+};
+
+// `publish` and `status` of `config`.
+struct ConfigCommands {
+  CLI::App* publish = nullptr;
+  CLI::App* status = nullptr;
+  bool parsed() const { return publish->parsed() || status->parsed(); }
+};
+
+ConfigCommands add_config(CLI::App& app, ConfigOptions& o) {
+  CLI::App* config =
+      app.add_subcommand("config", "configuration: distributed to the gatekeepers of a service");
+  config->require_subcommand(1);
+  config->footer(kConfigFooter);
+  const ConfigCommands all{
+      config->add_subcommand("publish", "publish a merge patch of a service's configuration"),
+      config->add_subcommand("status", "how far each service's document has come")};
+  for (CLI::App* sub : {all.publish, all.status}) {
+    sub->add_option("--to", o.to, "addresses of all distributors, address:port")
+        ->required()
+        ->envname("GRANITERUN_DISTRIBUTORS")
+        ->delimiter(',');
+    sub->add_option("--within", o.within, "for all of it")->capture_default_str();
+    sub->add_flag("--json", o.json, "JSON for programs");
+    sub->footer(kConfigFooter);
+  }
+  all.publish->add_option("service", o.service, "whose gatekeepers are to take it")->required();
+  CLI::Option* file = all.publish->add_option("--file", o.file, "where the patch stands; -: standard input");
+  CLI::Option* text = all.publish->add_option("--json-text", o.text, "the patch itself");
+  file->excludes(text);
+  all.publish->add_option("--wait-for", o.wait_for, "what to wait for")
+      ->capture_default_str()
+      ->check(CLI::IsMember({"committed", "in-force"}));
+  all.status->add_option("service", o.service, "the service; without it a line for each");
+  return all;
+}
+
+std::string patch_of(const ConfigOptions& o) {
+  std::string text = o.text;
+  if (!o.file.empty()) {
+    std::ifstream file;
+    if (o.file != "-") file.open(o.file);
+    std::istream& from = o.file == "-" ? std::cin : file;
+    if (!from) throw CLI::ValidationError("--file", "cannot read " + o.file);
+    text.assign(std::istreambuf_iterator<char>(from), {});
+  } else if (text.empty()) {
+    throw CLI::ValidationError("publish", "say what: --file or --json-text");
+  }
+  try {
+    text = canonical_patch(text);
+  } catch (const BadLine& trouble) {
+    throw CLI::ValidationError("publish", trouble.what());
+  }
+  if (const std::string trouble = trouble_with(o.service, text); !trouble.empty())
+    throw CLI::ValidationError("publish", trouble);
+  return text;
+}
+
+ConfigCtlSettings settings_of(const ConfigCommands& commands, const ConfigOptions& o) {
+  ConfigCtlSettings s;
+  s.to = o.to;
+  s.service = o.service;
+  s.json = o.json;
+  s.within = duration_of(o.within, "--within");
+  s.wait = o.wait_for == "in-force";
+  s.what = commands.publish->parsed() ? ConfigCtlSettings::What::publish : ConfigCtlSettings::What::status;
+  if (commands.publish->parsed()) s.content = patch_of(o);
+  if (!s.service.empty() && !distribution::is_service(s.service))
+    throw CLI::ValidationError("service", "'" + s.service + "' is no service's name");
+  return s;
+}
+
+template <class Command>
+int run_to_the_end(Command command) {
+  net::Runtime runtime({}, net::Logger(net::Level::warning));
+  return runtime.run([&command](Time now, const net::Event& event, net::Effects& effects) {
+    command.step(now, event, effects);
+  });
+}
+
 int run(int argc, char** argv) {
   Options o;
+  ConfigOptions c;
   CLI::App app{"Announces call gaps to graniterun's gatekeepers, lifts them, and tells of their fleet."};
   app.footer(kFooter);
   app.require_subcommand(1);
@@ -137,29 +237,33 @@
     sub->add_option("--for", o.watch_for, "how long to watch (0ms: until it is ended)")
         ->capture_default_str();
 
+  const ConfigCommands config = add_config(app, c);
   CtlSettings s;
+  ConfigCtlSettings config_settings;
   try {
     app.parse(argc, argv);
-    s.to = o.to;
-    s.json = o.json;
-    const bool watches = watch->parsed() || events->parsed();
-    s.within = duration_of(watches ? o.watch_for : o.within, "--within");
-    s.what = list->parsed()      ? CtlSettings::What::list
-             : watches           ? CtlSettings::What::watch
-             : members->parsed() ? CtlSettings::What::members
-             : view->parsed()    ? CtlSettings::What::view
-             : leave->parsed()   ? CtlSettings::What::leave
-                                 : CtlSettings::What::announce;
-    if (announce->parsed() || lift->parsed())
-      s.announcement = announcement_of(o, net::clock_now(), lift->parsed());
+    if (config.parsed()) {
+      config_settings = settings_of(config, c);
+    } else {
+      s.to = o.to;
+      s.json = o.json;
+      const bool watches = watch->parsed() || events->parsed();
+      s.within = duration_of(watches ? o.watch_for : o.within, "--within");
+      s.what = list->parsed()      ? CtlSettings::What::list
+               : watches           ? CtlSettings::What::watch
+               : members->parsed() ? CtlSettings::What::members
+               : view->parsed()    ? CtlSettings::What::view
+               : leave->parsed()   ? CtlSettings::What::leave
+                                   : CtlSettings::What::announce;
+      if (announce->parsed() || lift->parsed())
+        s.announcement = announcement_of(o, net::clock_now(), lift->parsed());
+    }
   } catch (const CLI::ParseError& trouble) {
     const int status = app.exit(trouble);
     return status == 0 ? 0 : Ctl::kUsage;
   }
-  Ctl ctl(std::move(s));
-  net::Runtime runtime({}, net::Logger(net::Level::warning));
-  return runtime.run(
-      [&ctl](Time now, const net::Event& event, net::Effects& effects) { ctl.step(now, event, effects); });
+  if (config.parsed()) return run_to_the_end(ConfigCtl(std::move(config_settings)));
+  return run_to_the_end(Ctl(std::move(s)));
 }
 
 }  // namespace
