Distribute configuration: the pure core, a first cut

Contract: Publish has a field more at its end, `guess` (Unix time in milliseconds; 0: `now` counts as it), since `now` need not be Unix time. Bounds said in distributor.h are named: kMostQueued, kMostPeerFetches, kUnread. A distributor from nothing subscribes to others only when no proposal lives that it may have accepted before.

Need: distributors and gatekeepers need the deciding parts to build their edges on.

--- a/src/distribution/distributor.h
+++ b/src/distribution/distributor.h
@@ -49,9 +49,12 @@
 constexpr Duration kLostKept = std::chrono::minutes(10);
 constexpr Duration kProposalLives = std::chrono::seconds(3);  // then it is given up, and never committed
 constexpr Duration kSilence = std::chrono::seconds(8);        // more than twice that
+constexpr Duration kUnread = std::chrono::seconds(30);        // a notice; then the client is closed
 constexpr Duration kBeatEvery = std::chrono::seconds(5);
-constexpr int kMostTries = 5;         // numbers drawn for one publication
-constexpr std::size_t kBuckets = 64;  // parts in which what is known is saved: a service is in one
+constexpr std::size_t kMostQueued = 16384;    // documents that wait to be delivered, to all clients
+constexpr std::size_t kMostPeerFetches = 32;  // documents on their way to a distributor
+constexpr int kMostTries = 5;                 // numbers drawn for one publication
+constexpr std::size_t kBuckets = 64;          // parts in which what is known is saved: a service is in one
 
 struct DistributorSettings {
   std::string name{};
@@ -161,6 +164,7 @@
   std::uint64_t request{};  // the edge's own
   std::string service{};
   std::string content{};
+  Version guess{};  // Unix time in milliseconds, the edge's; 0: `now` counts as it
 };
 
 using DistributorEvent = std::variant<Restored, PeerUp, PeerDown, PeerNoticed, PeerDelivered, PeerNotThere,
@@ -289,10 +293,133 @@
   std::size_t clients() const;
 
  private:
+  struct Peer {
+    bool up = false;
+    bool subscribed = false;
+    bool told_all = false;     // since this one may count it: see `may_subscribe`
+    bool told_voting = false;  // the same, while it was voting
+  };
+  struct Subscription {
+    Stamp held{};  // in force there
+    Stamp told{};  // the newest it was told of
+    std::optional<Stamp> refused{};
+    std::string reason{};
+  };
+  struct Client {
+    std::string name{};
+    bool subscribed = false;
+    bool all = false;
+    bool primary = false;
+    bool unanswered = false;  // a notice is out
+    bool complete = false;    // it was told that it has been told all
+    bool standing_owed = false;
+    Time noticed{};
+    Time said{};  // anything at all
+    std::map<std::string, Subscription, std::less<>> services{};
+    std::set<std::string> owed{};
+    std::set<std::string> queued{};  // documents that it waits for
+  };
+  struct Publication {
+    std::uint64_t request{};
+    Document document{};
+    Version guess{};
+    int tries = 0;
+    bool out = false;  // proposed; else it waits for `when`
+    Time when{};       // the proposal's end, or the next try
+    std::set<std::uint32_t> accepted{};
+    std::set<std::uint32_t> refused{};
+    bool number_taken = false;
+  };
+  struct Want {  // of peers
+    std::map<std::uint32_t, Stamp> has{};
+    std::optional<std::uint32_t> asked{};
+    Time until{};
+    std::map<std::uint32_t, Time> not_before{};
+  };
+  struct Asking {  // of clients
+    Version version{};
+    std::optional<ClientId> asked{};
+    Time until{};  // then another one is asked
+  };
+  struct Queued {
+    Version version{};
+    std::uint64_t number{};
+    ClientId client{};
+    std::string service{};
+    bool operator<(const Queued& other) const {  // the newest first
+      return version != other.version ? version > other.version : number < other.number;
+    }
+  };
+
+  void on(Time now, const Restored& e, DistributorEffects& out);
+  void on(Time now, const PeerUp& e, DistributorEffects& out);
+  void on(Time now, const PeerDown& e, DistributorEffects& out);
+  void on(Time now, const PeerNoticed& e, DistributorEffects& out);
+  void on(Time now, const PeerDelivered& e, DistributorEffects& out);
+  void on(Time now, const PeerNotThere& e, DistributorEffects& out);
+  void on(Time now, const PeerAnswered& e, DistributorEffects& out);
+  void on(Time now, const ClientUp& e, DistributorEffects& out);
+  void on(Time now, const ClientDown& e, DistributorEffects& out);
+  void on(Time now, const Subscribed& e, DistributorEffects& out);
+  void on(Time now, const PrimaryTold& e, DistributorEffects& out);
+  void on(Time now, const Heard& e, DistributorEffects& out);
+  void on(Time now, const Fetched& e, DistributorEffects& out);
+  void on(Time now, const Reported& e, DistributorEffects& out);
+  void on(Time now, const Handed& e, DistributorEffects& out);
+  void on(Time now, const Proposed& e, DistributorEffects& out);
+  void on(Time now, const Publish& e, DistributorEffects& out);
+  void on(Time now, const Tick& e, DistributorEffects& out);
+
+  std::size_t majority() const { return (settings_.peers + 1) / 2 + 1; }
+  Stamp committed(std::string_view service) const;
+  Version seen(std::string_view service) const;
+  bool may_subscribe(Time now) const;
+  bool may_complete(const Client& client) const;
+  bool has_room_for(const std::string& service) const;
+  void subscribe(Time now, DistributorEffects& out);
+  void set_standing(Time now, Standing standing, DistributorEffects& out);
+  void recover(Time now, DistributorEffects& out);
+  bool commit(Time now, const Document& document, DistributorEffects& out);
+  void propose(Time now, std::uint64_t id, Publication publication, DistributorEffects& out);
+  void try_again(Time now, std::uint64_t id, const std::string& why, DistributorEffects& out);
+  void give_up(std::uint64_t id, const std::string& why, DistributorEffects& out);
+  void count_votes(Time now, std::uint64_t id, DistributorEffects& out);
+  void notify(Time now, ClientId id, Client& client, DistributorEffects& out);
+  void drop(Time now, ClientId id);
+  void close(Time now, ClientId id, const std::string& why, DistributorEffects& out);
+  void fetch_more(Time now, DistributorEffects& out);
+  void deliver(Time now, DistributorEffects& out);
+  void look_at(Time now, const std::string& service, const Stamp& in_force, DistributorEffects& out);
+  void ask_more(Time now, DistributorEffects& out);
+  void happened(DistributorTold what, const std::string& service, Version version, std::string reason,
+                DistributorEffects& out) const;
+  void lose(Time now, const std::string& name);
+
   DistributorSettings settings_;
   Standing standing_ = Standing::is_new;
   std::map<std::string, Record> records_;
   std::mt19937_64 random_;
+  bool born_known_ = false;
+  Time born_{};
+  Time ticked_{};
+  Time woke_{};
+  bool settled_ = false;  // it votes, and has what was told to it when it began to
+  Time voting_since_{};
+  std::vector<Peer> peers_;
+  std::map<ClientId, Client> clients_;
+  std::map<std::string, std::set<ClientId>, std::less<>> by_service_;
+  std::set<ClientId> distributors_;  // clients that are subscribed to all
+  std::map<std::string, std::set<ClientId>, std::less<>> by_name_;
+  std::map<std::uint64_t, Publication> publications_;
+  std::map<std::string, Want> wants_;
+  std::size_t fetching_ = 0;
+  std::map<std::string, Asking> asking_;
+  std::set<Queued> queue_;
+  std::uint64_t queued_ = 0;
+  double tokens_ = 0;  // bytes; below 0 where a document was larger than what was left
+  Time filled_{};
+  std::set<std::pair<Time, ClientId>> beats_;
+  std::map<std::string, Time, std::less<>> lost_;
 };
 
 }  // namespace graniterun::distribution
--- a/src/distribution/subscriber.h
+++ b/src/distribution/subscriber.h
@@ -14,7 +14,8 @@
 //  told.
 //  5. At most kMostFetches documents are on their way, and none is asked for twice at one time.
 //
-// Bounds: kMostSubscribed services, two documents of each (in force, fetched); kSources connections.
+// Bounds: kMostSubscribed services, two documents of each (in force, fetched); kSources connections, and one
+// more while a better ranked distributor that was lost is tried.
 #pragma once
 
 #include <cstdint>
@@ -183,12 +184,80 @@
   std::size_t sources_up() const;
 
  private:
-  struct Source;
-  struct Service;
-  // The implementation's own; see subscriber.cpp.
+  struct Source {
+    enum class State : std::uint8_t { shut, opening, up };
+    State state = State::shut;
+    bool complete = false;  // it has told all since it came up
+    Duration pause = kRetryLeast;
+    Time retry{};  // not opened before
+    Time since{};  // of the state
+    Time heard{};
+  };
+  struct Offer {
+    Stamp stamp{};
+    Time not_before{};  // asked for no sooner: the source did not answer, or did not have it
+  };
+  struct Fetching {
+    std::uint32_t source{};
+    Time until{};
+    std::vector<std::uint32_t> asked{};  // since the last document came
+  };
+  struct Service {
+    std::string name{};
+    std::optional<Document> in_force{};
+    std::optional<Document> newer{};  // fetched: to be applied, or refused
+    bool tried = false;               // `newer` has been refused, and nothing has changed since
+    std::optional<Stamp> refused{};
+    std::string reason{};
+    std::map<std::uint32_t, Offer> offers{};  // by source
+    std::optional<Fetching> fetch{};
+    Version floor() const;  // nothing of this version or below is fetched
+  };
+
+  Service* find(std::string_view name);
+  bool is_up(std::uint32_t source) const { return sources_[source].state == Source::State::up; }
+  void on(Time now, const SourceUp& e, SubscriberEffects& out);
+  void on(Time now, const SourceDown& e, SubscriberEffects& out);
+  void on(Time now, const Noticed& e, SubscriberEffects& out);
+  void on(Time now, const Delivered& e, SubscriberEffects& out);
+  void on(Time now, const NotThere& e, SubscriberEffects& out);
+  void on(Time now, const Wanted& e, SubscriberEffects& out);
+  void on(Time now, const Beat& e, SubscriberEffects& out);
+  void on(Time now, const Applied& e, SubscriberEffects& out);
+  void on(Time now, const BaseChanged& e, SubscriberEffects& out);
+  void on(Time now, const Tick& e, SubscriberEffects& out);
+  void heard(Time now, std::uint32_t source);
+  void lose(Time now, std::uint32_t source, SubscriberEffects& out);
+  void forget(std::uint32_t source);
+  void choose_primary(std::optional<std::uint32_t> fresh, SubscriberEffects& out);
+  void hold_sources(Time now, SubscriberEffects& out);
+  void fetch_more(Time now, SubscriberEffects& out);
+  void apply_more(Time now, SubscriberEffects& out);
+  void apply(std::vector<std::size_t> candidates, SubscriberEffects& out);
+  void put_in_force(Service& service, Document document, SubscriberEffects& out);
+  void refuse(Service& service, const Document& document, const std::string& reason, SubscriberEffects& out);
+  void report(const Service& service, std::optional<std::uint32_t> to, SubscriberEffects& out) const;
+  void become_ready(Time now, SubscriberEffects& out);
+  bool has_to_fetch() const;
+  bool has_to_apply() const;
+
   SubscriberSettings settings_;
   std::vector<std::uint32_t> ranking_;
+  std::vector<Source> sources_;
+  std::vector<Service> services_;
+  std::map<std::string, std::size_t, std::less<>> places_;  // of services
   std::mt19937_64 random_;
+  std::optional<std::uint32_t> primary_;
+  std::optional<Time> gathering_;      // since when documents that have come wait for others
+  std::vector<std::size_t> applying_;  // services whose newer documents are in the Apply that is out
+  std::vector<Document> applied_;      // these documents, in the same order
+  bool is_applying_ = false;
+  bool base_changed_ = false;             // while an Apply was out
+  std::vector<std::size_t> alone_;        // to be tried one by one, the last one first
+  std::vector<std::size_t> turned_down_;  // in this round of them
+  bool progress_ = false;                 // one of this round came into force
+  Time began_{};
+  Time ticked_{};
   bool ready_ = false;
 };
 
