Test the distributor's edge and the config command on a network in memory

A distributor that starts from nothing says a word at once: it subscribes only after 6 s, and was closed as silent by its peers. config_lines and config_distributor pass under the sanitizers.

--- a/src/control/config_distributor.cpp
+++ b/src/control/config_distributor.cpp
@@ -296,6 +296,8 @@
   peers_[*peer].up = true;
   peers_[*peer].heard = now;
   counters_.add("distributor.peers_reached");
+  // One that starts from nothing subscribes only later, and who says nothing is closed.
+  send_to_peer(*peer, beat_answer_line(), out);
   feed(now, PeerUp{*peer}, out);
 }
 
@@ -547,7 +549,7 @@
     counters_.add(stuck ? "distributor.connections_stuck" : "distributor.connections_silent");
     refused_.line(now,
                   std::string("a connection is closed: ") +
-                      (stuck ? "its line is not whole in time" : "it says nothing"),
+                      (stuck ? "no whole line came in time" : "it says nothing any more"),
                   out);
     close(now, conn, out);
   }
