--- a/tests/config_distributor_test.cpp
+++ b/tests/config_distributor_test.cpp
@@ -461,6 +461,15 @@
     const auto it = records.find(service);
     return it != records.end() && it->second.committed ? it->second.committed->stamp : Stamp{};
   }
+  // What its files hold of a service.
+  Record saved(std::size_t i, const std::string& service) const {
+    for (const auto& [path, text] : files[i]) {
+      if (path.find("bucket-") == std::string::npos) continue;
+      const auto records = records_in(text);
+      if (const auto it = records.find(service); it != records.end()) return it->second;
+    }
+    return {};
+  }
   std::vector<std::string> all() const {
     std::vector<std::string> addresses;
     for (std::size_t i = 0; i < d.size(); ++i) addresses.push_back(address_of(i));
@@ -610,14 +619,12 @@
   CHECK(lab.net.run_until([&] { return lab.committed(2, "trail") == lab.committed(0, "trail"); }, 20s));
   // Its connections stay, though it asks for nothing yet.
   CHECK_EQ(lab.d[2]->counters().of("distributor.peers_lost"), 0U);
-  if (!lab.voting(2)) {
-    CHECK(!lab.files[2].empty());
-    lab.kill(2);
-    lab.start(2);
-    CHECK(!lab.voting(2));
-    // It keeps what it learned all the same.
-    CHECK(lab.committed(2, "trail") == lab.committed(0, "trail"));
-  }
+  CHECK(!lab.voting(2) && !lab.files[2].empty());
+  lab.kill(2);
+  lab.start(2);
+  CHECK(!lab.voting(2));
+  // It keeps what it learned all the same.
+  CHECK(lab.committed(2, "trail") == lab.committed(0, "trail"));
   lab.all_vote();
   lab.kill(2);
   lab.start(2);
@@ -701,6 +708,8 @@
       check_has(result.text, "not known whether it is in force: look at the status");
       ++unanswered;
     }
+    if (!lab.p[0]->running && result.status == ConfigCtl::kDone)
+      CHECK(lab.saved(0, "trail").committed->content == patch("2"));
     lab.net.run(5s);
     if (!lab.p[0]->running) {
       ++killed;
@@ -724,6 +733,30 @@
   CHECK(answered > 0 && unanswered > 0 && killed > 20);
 }
 
+// Its vote stands in its file before the publisher can count it.
+void a_vote_outlives_whoever_gave_it() {
+  std::size_t counted = 0;
+  std::size_t killed = 0;
+  for (std::size_t at = 0; at < 40; ++at) {
+    Lab lab;
+    lab.all_vote();
+    CHECK_EQ(lab.ctl(lab.publishing("trail", patch("1"))).status, ConfigCtl::kDone);
+    lab.net.cut(address_of(2));
+    lab.p[1]->killed_after = lab.p[1]->effects + at;
+    ConfigCtlSettings s = lab.publishing("trail", patch("2"));
+    s.to = {address_of(0)};
+    s.wait = false;
+    const bool committed = lab.ctl(s).status == ConfigCtl::kDone;
+    if (lab.p[1]->running) continue;
+    ++killed;
+    if (!committed) continue;
+    ++counted;
+    const Record kept = lab.saved(1, "trail");
+    CHECK((kept.accepted ? *kept.accepted : *kept.committed).content == patch("2"));
+  }
+  CHECK(counted > 0 && killed > counted);
+}
+
 void two_publishers_at_once() {
   Lab lab;
   lab.all_vote();
@@ -1000,6 +1033,7 @@
   a_restart_while_it_recovers_gives_no_vote();
   a_file_that_is_no_use_is_told_and_ends_the_program();
   a_distributor_killed_at_any_effect_forgets_nothing_it_said();
+  a_vote_outlives_whoever_gave_it();
   two_publishers_at_once();
   the_small_side_of_a_cut_publishes_nothing_and_comes_back();
   nobody_to_be_reached();
