Let what was sent before an end arrive, in the tests' network

Without it the order of files and answers was not tested: with the files written last the test passed. Taken out, each of these now fails it: files first, no vote before the first one, the digests of what is read.

--- a/tests/config_distributor_test.cpp
+++ b/tests/config_distributor_test.cpp
@@ -141,7 +141,7 @@
     Link& l = links_[link];
     if (!std::exchange(l.open, false)) return;
     for (int side : {0, 1}) {
-      if (!l.ends[side]->running || l.ends[side]->links.erase(l.ids[side]) == 0) continue;
+      if (!l.ends[side]->running || !l.ends[side]->links.contains(l.ids[side])) continue;
       queue_.push_back({l.ends[side], net::Closed{l.ids[side], reset}, {}});
     }
   }
@@ -160,11 +160,13 @@
     if (due.link) {
       Link& l = links_[*due.link];
       const ConnId conn = std::get<net::Received>(due.event).conn;
-      if (!l.open || !p.reads) return;
+      if (!p.links.contains(conn) || !p.reads) return;
       bytes = l.unread[side_of(*due.link, p, conn)];
       if (bytes.empty()) return;
       due.event = net::Received{conn, bytes};
     }
+    // What was sent before the other side's end has been read by then.
+    if (const auto* closed = std::get_if<net::Closed>(&due.event)) p.links.erase(closed->conn);
     net::Effects effects;
     p.step(now, due.event, effects);
     for (const net::Effect& effect : effects) {
@@ -197,6 +199,7 @@
     const auto it = p.links.find(e.conn);
     if (it == p.links.end()) return;
     Link& l = links_[it->second];
+    if (!l.open) return;
     const int other = 1 - side_of(it->second, p, e.conn);
     l.unread[other] += e.bytes;
     queue_.push_back({l.ends[other], net::Received{l.ids[other], {}}, it->second});
