--- a/src/distribution/distributor.cpp
+++ b/src/distribution/distributor.cpp
@@ -17,6 +17,7 @@
 constexpr Duration kHandWithin = 1s;       // then another one is asked
 constexpr Duration kSettleWithin = 2s;     // from when it votes
 constexpr Duration kTryAgainMost = 100ms;  // times the try
+constexpr Duration kTakenWithin = 200ms;   // a proposal whose number one of the others has taken
 constexpr Duration kStopped = 1s;          // a tick so late is a stop of this process
 constexpr std::size_t kMostNamed = 100;    // in a status
 constexpr std::size_t kLongestName = 256;  // bytes
@@ -87,6 +88,7 @@
     }
   }
   if (!e.nothing) set_standing(now, Standing::voting, out);
+  recover(now, out);
 }
 
 bool Distributor::may_subscribe(Time now) const {
@@ -259,6 +261,12 @@
   publications_.insert(std::move(node));
 }
 
+// Its time is over.
+void Distributor::end(Time now, std::uint64_t id, DistributorEffects& out) {
+  if (publications_.at(id).number_taken) return try_again(now, id, "others publish it", out);
+  give_up(id, "no majority", out);
+}
+
 void Distributor::give_up(std::uint64_t id, const std::string& why, DistributorEffects& out) {
   const auto it = publications_.find(id);
   const Publication& p = it->second;
@@ -272,19 +280,19 @@
   const auto it = publications_.find(e.proposal);
   if (it == publications_.end() || !it->second.out) return;
   Publication& p = it->second;
-  if (now >= p.when) return give_up(e.proposal, "no majority", out);
+  if (now >= p.when) return end(now, e.proposal, out);
   if (e.accepted) {
     p.accepted.insert(e.peer);
     p.refused.erase(e.peer);
   } else {
     if (p.accepted.contains(e.peer)) return;
     p.refused.insert(e.peer);
-    Record& record = records_[p.document.service];
-    if (e.seen > record.seen) {
-      record.seen = e.seen;
-      out.emplace_back(Save{bucket_of(p.document.service)});
+    if (e.seen >= p.document.stamp.version) {
+      // Others may still make a majority, but it is not waited for long.
+      p.number_taken = true;
+      p.guess = std::max(p.guess, e.seen + 1);
+      p.when = std::min(p.when, now + kTakenWithin);
     }
-    p.number_taken = p.number_taken || e.seen >= p.document.stamp.version;
   }
   count_votes(now, e.proposal, out);
 }
@@ -362,8 +370,10 @@
                entry.stamp.version, "a peer's notice", out);
       continue;
     }
+    // Who votes knows what it accepted; a number that is just proposed to it is not to be turned down because
+    // others were faster.
     const Version highest = std::max(entry.seen, entry.stamp.version);
-    if (highest > seen(entry.service)) {
+    if (standing_ != Standing::voting && highest > seen(entry.service)) {
       records_[entry.service].seen = highest;
       touched.insert(bucket_of(entry.service));
     }
@@ -726,7 +736,7 @@
     const auto it = publications_.find(id);
     if (it == publications_.end()) continue;
     if (it->second.out) {
-      give_up(id, "no majority", out);
+      end(now, id, out);
     } else {
       Publication again = std::move(it->second);
       publications_.erase(it);
--- a/src/distribution/distributor.h
+++ b/src/distribution/distributor.h
@@ -75,7 +75,7 @@
 struct Record {
   std::optional<Document> committed{};
   std::optional<Document> accepted{};  // above what is committed, or none
-  Version seen{};                      // the highest that was accepted or committed, here or as others told
+  Version seen{};  // the highest that was accepted or committed here, or that others told before it voted
 };
 
 // ---- events. A client is a connection that came in; a peer is another distributor that this one connects
@@ -382,6 +382,7 @@
   bool commit(Time now, const Document& document, DistributorEffects& out);
   void propose(Time now, std::uint64_t id, Publication publication, DistributorEffects& out);
   void try_again(Time now, std::uint64_t id, const std::string& why, DistributorEffects& out);
+  void end(Time now, std::uint64_t id, DistributorEffects& out);
   void give_up(std::uint64_t id, const std::string& why, DistributorEffects& out);
   void count_votes(Time now, std::uint64_t id, DistributorEffects& out);
   void notify(Time now, ClientId id, Client& client, DistributorEffects& out);
--- a/src/distribution/subscriber.cpp
+++ b/src/distribution/subscriber.cpp
@@ -110,13 +110,14 @@
   lose(now, e.source, out);
 }
 
-// The best ranked one that is up. `fresh`: it has come up just now, and is told with its Subscribe.
+// The best ranked one of those that are up and have told all, or of those that are up: one that was stopped
+// may still be connected to. `fresh`: it has come up just now, and is told with its Subscribe.
 void Subscriber::choose_primary(std::optional<std::uint32_t> fresh, SubscriberEffects& out) {
   std::optional<std::uint32_t> best;
   for (const std::uint32_t index : ranking_) {
-    if (!is_up(index)) continue;
+    if (!is_up(index) || (best && !sources_[index].complete)) continue;
+    if (best && sources_[*best].complete) break;
     best = index;
-    break;
   }
   if (best == primary_) return;
   if (primary_ && is_up(*primary_)) out.emplace_back(TellPrimary{*primary_, false});
@@ -207,7 +208,8 @@
     }
     if (!entry.stamp.none()) s->offers[e.source] = {entry.stamp, {}};
   }
-  if (e.complete) sources_[e.source].complete = true;
+  if (!e.complete || std::exchange(sources_[e.source].complete, true)) return;
+  choose_primary(std::nullopt, out);
 }
 
 void Subscriber::on(Time now, const NotThere& e, SubscriberEffects&) {
