--- a/src/control/config_ctl.cpp
+++ b/src/control/config_ctl.cpp
@@ -209,6 +209,14 @@
   if (stage_ != Stage::publishing || !sent_ || &t != &targets_[publisher_]) return;
   if (!flag_in(line, "ok")) {
     const std::string why = line.contains("trouble") ? text_in(line, "trouble") : "refused";
+    // One without a vote has begun nothing: the next one may.
+    if (line.contains("standing") && text_in(line, "standing") != "voting" &&
+        publisher_ + 1 < targets_.size()) {
+      ++publisher_;
+      sent_ = false;
+      without_vote_ = t.name + " " + t.address + ": not published: " + why + "\n";
+      return publish_next(now, out);
+    }
     say(out, t.name + " " + t.address + ": not published: " + why + "\n",
         {{"service", settings_.service}, {"committed", false}, {"by", t.name}, {"trouble", why}});
     return stop(kNotAll, out);
@@ -420,9 +428,10 @@
       text += settings_.service + ": version " + std::to_string(version_) + ", " + prefix_of(digest_) +
               ", committed by " + by_ + "\n";
     } else {
-      text += settings_.service + ": not published: no distributor could be reached\n";
+      text += without_vote_.empty() ? settings_.service + ": not published: no distributor could be reached\n"
+                                    : without_vote_;
       say(out, text, object);
-      return stop(kNobody, out);
+      return stop(without_vote_.empty() ? kNobody : kNotAll, out);
     }
     if (!settings_.wait) {
       say(out, text, object);
--- a/src/control/config_ctl.h
+++ b/src/control/config_ctl.h
@@ -105,8 +105,9 @@
   ConfigCtlSettings settings_;
   std::vector<Target> targets_;
   Stage stage_ = Stage::statuses;
-  std::size_t publisher_ = 0;  // which target is to take it
-  bool sent_ = false;          // it has been sent there
+  std::size_t publisher_ = 0;   // which target is to take it
+  bool sent_ = false;           // it has been sent there
+  std::string without_vote_{};  // what the last one said that has no vote
   distribution::Version version_{};
   std::string digest_{};
   std::string by_{};
--- a/src/control/config_distributor.cpp
+++ b/src/control/config_distributor.cpp
@@ -242,6 +242,7 @@
     answer["digest"] = hex_of(e.stamp.digest);
   } else {
     answer["trouble"] = e.why;
+    answer["standing"] = control::word_of(core_.standing());  // without a vote nothing was begun: another may
   }
   if (const auto caller = callers_.find(asked.conn); caller != callers_.end()) {
     if (caller->second.publishes > 0) --caller->second.publishes;
@@ -254,9 +255,8 @@
   counters_.add("distributor." + word);
   if (e.what == DistributorTold::committed || e.what == DistributorTold::accepted) return;
   if (e.what == DistributorTold::standing) {
-    out.log(net::Level::info, "this distributor's standing is now " +
-                                  std::string(control::word_of(core_.standing())) +
-                                  (e.reason.empty() ? "" : ": " + e.reason));
+    out.log(net::Level::info,
+            "this distributor's standing is now " + std::string(control::word_of(core_.standing())));
     return;
   }
   std::string text = word;
--- a/tests/config_distributor_test.cpp
+++ b/tests/config_distributor_test.cpp
@@ -623,6 +623,19 @@
   // Its connections stay, though it asks for nothing yet.
   CHECK_EQ(lab.d[2]->counters().of("distributor.peers_lost"), 0U);
   CHECK(!lab.voting(2) && !lab.files[2].empty());
+  // Nothing is published through it; the command goes on to the next one.
+  ConfigCtlSettings s = lab.publishing("trail", patch("2"));
+  s.to = {address_of(2)};
+  const Lab::Result alone = lab.ctl(s);
+  CHECK_EQ(alone.status, ConfigCtl::kNotAll);
+  check_has(alone.text, "not published: not voting yet");
+  s.to = {address_of(2), address_of(1), address_of(0)};
+  const Lab::Result next = lab.ctl(s);
+  CHECK_EQ(next.status, ConfigCtl::kDone);
+  check_has(next.text, "committed by d2");
+  check_has(next.text, "d3 " + address_of(2) + " has no vote: recovering");
+  CHECK(lab.net.run_until([&] { return lab.committed(2, "trail") == lab.committed(0, "trail"); }, 1s));
+  CHECK(!lab.voting(2));
   lab.kill(2);
   lab.start(2);
   CHECK(!lab.voting(2));
