--- a/tests/config_distributor_test.cpp
+++ b/tests/config_distributor_test.cpp
@@ -846,6 +846,80 @@
   CHECK_EQ(lab.ctl(s).status, ConfigCtl::kNobody);
 }
 
+// One that takes connections and is silent holds up neither the command nor the others.
+void a_distributor_that_hangs() {
+  Lab lab;
+  lab.all_vote();
+  lab.add_gatekeepers(6, {"trail"});
+  lab.net.run(3s);
+  CHECK_EQ(lab.ctl(lab.publishing("trail", patch("1"))).status, ConfigCtl::kDone);
+  lab.p[2]->running = false;  // stopped; its connections stand
+  ConfigCtlSettings s = lab.publishing("trail", patch("2"));
+  s.within = 3s;
+  const Lab::Result published = lab.ctl(s);
+  CHECK_EQ(published.status, ConfigCtl::kNotAll);
+  check_has(published.text, address_of(2) + ": no answer in time");
+  check_has(published.text, "committed by d1");
+  check_has(published.text, "in force at ");
+  s.to = {address_of(2)};
+  const Lab::Result unknown = lab.ctl(s);
+  CHECK_EQ(unknown.status, ConfigCtl::kNotAll);
+  check_has(unknown.text, "not known whether it is in force: look at the status");
+  CHECK_EQ(lab.ctl(lab.asking("trail")).status, ConfigCtl::kNotAll);
+  // Silent for three beats it is given up; gatekeepers count themselves elsewhere.
+  lab.net.run(25s);
+  CHECK(lab.d[0]->counters().of("distributor.peers_lost") > 0);
+  s = lab.publishing("trail", patch("3"));
+  s.to = {address_of(0), address_of(1)};
+  const Lab::Result without = lab.ctl(s);
+  CHECK_EQ(without.status, ConfigCtl::kDone);
+  check_has(without.text, "in force at 6 of 6");
+  lab.p[2]->running = true;
+  CHECK(lab.net.run_until([&] { return lab.committed(2, "trail") == lab.committed(0, "trail"); }, 60s));
+  lab.net.run(30s);
+  const Lab::Result all = lab.ctl(lab.asking("trail"));
+  CHECK_EQ(all.status, ConfigCtl::kDone);
+  check_has(all.text, "in force at 6 of 6");
+}
+
+// Whoever else listens there.
+void answers_that_can_not_be_read_are_told() {
+  const std::vector<std::string> answers = {
+      "nonsense\n",
+      "{}\n{\"re\":3}\n",
+      "{\"re\":\"config\"}\n",
+      "{\"re\":\"config\",\"what\":\"status\"}\n",
+      "{\"re\":\"config\",\"what\":\"status\",\"ok\":true}\n",
+      "{\"re\":\"config\",\"what\":\"status\",\"ok\":true,\"standing\":\"voting\",\"service\":\"trail\","
+      "\"version\":-1}\n",
+      "{\"re\":\"config\",\"what\":\"status\",\"ok\":true,\"standing\":\"voting\",\"services\":[1]}\n",
+      "{\"re\":\"config\",\"what\":\"publish\",\"ok\":true}\n",
+      "{\"re\":\"config\",\"what\":\"publish\",\"ok\":true,\"version\":1,\"digest\":2}\n",
+      std::string(kLineBound + 1, 'x')};
+  std::size_t unread = 0;
+  for (const std::string& answer : answers) {
+    Lab lab(1);
+    Program& other = lab.net.add([&](Time, const net::Event& event, net::Effects& out) {
+      if (std::holds_alternative<net::Started>(event))
+        out.push_back(net::Listen{Concern::control, "10.0.0.9:7800"});
+      if (const auto* got = std::get_if<net::Received>(&event)) {
+        out.push_back(net::Consume{got->conn, got->bytes.size()});
+        out.push_back(net::Send{got->conn, answer});
+      }
+    });
+    lab.net.start(other);
+    for (ConfigCtlSettings s : {lab.publishing("trail", patch("1")), lab.asking("trail"), lab.asking("")}) {
+      s.to = {"10.0.0.9:7800"};
+      s.within = 2s;
+      const Lab::Result result = lab.ctl(s);
+      CHECK(result.status != ConfigCtl::kDone);
+      CHECK(!result.text.empty());
+      unread += has(result.text, "can't be read") ? 1 : 0;
+    }
+  }
+  CHECK(unread > 15);
+}
+
 void a_gatekeeper_that_is_gone_is_not_heard_of() {
   Lab lab;
   lab.all_vote();
@@ -1053,6 +1127,8 @@
   two_publishers_at_once();
   the_small_side_of_a_cut_publishes_nothing_and_comes_back();
   nobody_to_be_reached();
+  a_distributor_that_hangs();
+  answers_that_can_not_be_read_are_told();
   a_gatekeeper_that_is_gone_is_not_heard_of();
   many_that_are_gone_are_told_in_several_lines();
   a_client_that_never_reads_costs_little();
