Measure what a quiet member costs by size, in a mode of its own

Need: the capacity page takes slopes by members, and the bench gave quiet figures only inside a run of minutes, with the last rumours of the start and the encoder's time among them.

--- a/bench/fleet_sim_bench.cpp
+++ b/bench/fleet_sim_bench.cpp
@@ -1,10 +1,12 @@
 // Membership at 10 to 1,000 members, simulated: how soon joins, deaths and leaves are known everywhere, what
 // it costs each member, and how many live ones are found dead in bad weather; beside a baseline of heartbeats
-// from all to all, and with each refinement taken out once. Usage: fleet_sim_bench [SEEDS]. Exits with 1
-// where an aim is missed.
+// from all to all, and with each refinement taken out once. Exits with 1 where an aim is missed.
+// Usage: fleet_sim_bench [SEEDS]
+//        fleet_sim_bench --quiet [--seed=N] [--met] [SIZE...]   what a member costs while nothing happens
 #include <algorithm>
 #include <cstdio>
 #include <ctime>
+#include <vector>
 
 #include "fleet/datagram.h"
 #include "lab/fleet_sim.h"
@@ -55,23 +57,82 @@
   });
 }
 
-void at_size(std::size_t size, std::uint64_t seed) {
+// The first ones together, the rest in the order that an operator's tool would start them. How long after
+// that all agree; nothing: not within 30 s.
+std::optional<Duration> start_fleet(FleetSim& sim) {
+  for (std::size_t i = 0; i < sim.size(); ++i) {
+    sim.start(i);
+    if (sim.size() > 100 && i % 10 == 9) sim.run(20ms);
+  }
+  return sim.until(30s, [&, next = Time{}]() mutable {
+    if (sim.now() < next) return false;
+    next = sim.now() + 100ms;
+    return sim.all_agree();
+  });
+}
+
+// Datagrams and processor time of a member a second for `span`, then bytes for a fifth of it.
+void quiet_figures(FleetSim& sim, const std::string& kind, Duration span) {
+  const std::string at = kind + "_at_" + std::to_string(sim.size());
+  const double member_seconds = std::chrono::duration<double>(span).count() * static_cast<double>(sim.size());
+  const auto sent = sim.counts().sent;
+  const double cpu = cpu_s();
+  sim.run(span);
+  const double spent = cpu_s() - cpu;
+  const double datagrams = static_cast<double>(sim.counts().sent - sent) / member_seconds;
+  // One in so many is encoded: the encoder's own time is none of the membership's.
+  const auto counts = sim.counts();
+  std::uint64_t seen = 0;
+  std::uint64_t sampled = 0;
+  sim.size_of = [&](const membership::Datagram& d) -> std::size_t {
+    if (++seen % 16 != 0) return 0;
+    ++sampled;
+    return bytes_on_wire(d);
+  };
+  sim.run(span / 5);
+  sim.size_of = {};
+  const double each = static_cast<double>(sim.counts().bytes - counts.bytes) /
+                      static_cast<double>(std::max<std::uint64_t>(1, sampled));
+  figure("datagrams" + at, datagrams, "a_second");
+  figure("bytes" + at, datagrams * each, "a_second", datagrams * each < 10'000);
+  figure("cpu" + at, spent * 1e6 / member_seconds, "us_a_second");
+}
+
+// What a member costs while nothing happens: soon after the start, while many of the members have not spoken
+// with each other yet and each first word is checked by a ping of its own, and when all have met.
+void quiet_at_size(std::size_t size, std::uint64_t seed, bool met) {
   const std::string at = "_at_" + std::to_string(size);
   FleetSim sim(size, seed);
-  // The first ones together, the rest in the order that an operator's tool would start them.
-  for (std::size_t i = 0; i < size; ++i) {
-    sim.start(i);
-    if (size > 100 && i % 10 == 9) sim.run(20ms);
+  const auto settled = start_fleet(sim);
+  if (settled) {
+    figure("settled_after_start" + at, ms(*settled), "ms");
+  } else {
+    figure("not_settled" + at, 1.0, "runs", false);
+  }
+  // The last rumours of the start are told on for a while by members that agree already.
+  const Time began = sim.now();
+  std::uint64_t told = 1;
+  sim.tap = [&](std::size_t, std::size_t, const membership::Datagram& d) { told += d.records.size(); };
+  while (told > 0 && sim.now() - began < 30s) {
+    told = 0;
+    sim.run(500ms);
+  }
+  sim.tap = {};
+  figure("rumours_told_after_settled" + at, ms(sim.now() - began), "ms", told == 0);
+  quiet_figures(sim, "_quiet", size > 300 ? 5s : 10s);
+  if (met) {
+    // By then each has probed each.
+    sim.run(size * 250ms);
+    quiet_figures(sim, "_met", size > 300 ? 5s : 10s);
   }
-  const auto began = sim.now();
-  const bool agreed = sim.until(30s,
-                                [&, next = Time{}]() mutable {
-                                  if (sim.now() < next) return false;
-                                  next = sim.now() + 100ms;
-                                  return sim.all_agree();
-                                })
-                          .has_value();
-  figure("all_agree_after_start" + at, ms(sim.now() - began), "ms", agreed);
+  figure("memory" + at, static_cast<double>(sim.member(0).memory()) / 1024.0, "KiB");
+}
+
+void at_size(std::size_t size, std::uint64_t seed) {
+  const std::string at = "_at_" + std::to_string(size);
+  FleetSim sim(size, seed);
+  const auto agreed = start_fleet(sim);
+  figure("all_agree_after_start" + at, ms(agreed.value_or(30s)), "ms", agreed.has_value());
   // Quiet: nothing changes.
   const auto counts = sim.counts();
   const double cpu = cpu_s();
@@ -285,6 +346,25 @@
 }  // namespace
 
 int main(int argc, char** argv) {
+  if (argc > 1 && std::string(argv[1]) == "--quiet") {
+    std::uint64_t seed = 7;
+    bool all_met = false;
+    std::vector<std::size_t> sizes;
+    for (int i = 2; i < argc; ++i) {
+      const std::string arg = argv[i];
+      if (arg == "--met") {
+        all_met = true;
+      } else if (arg.starts_with("--seed=")) {
+        seed = std::stoull(arg.substr(7));
+      } else {
+        sizes.push_back(std::stoull(arg));
+      }
+    }
+    if (sizes.empty()) sizes = {30, 100, 300, 1000};
+    // A thousand take minutes until all have met.
+    for (const std::size_t size : sizes) quiet_at_size(size, seed, all_met || size <= 300);
+    return good ? 0 : 1;
+  }
   const std::uint64_t seeds = argc > 1 ? std::stoull(argv[1]) : 1;
   const double began = cpu_s();
   for (const std::size_t size : {10, 100, 300, 1000}) at_size(size, 7);
