--- a/bench/capacity/sums.cpp
+++ b/bench/capacity/sums.cpp
@@ -97,7 +97,7 @@
   if (needed > bound)
     return {Fits::no, needed / bound,
             "**does not**: " + text_of(needed / bound) + " times the bound `" + name + "`"};
-  return {Fits::yes, bound / needed, "fits, margin " + text_of(bound / needed)};
+  return {Fits::yes, bound / needed, "fits the bound `" + name + "`, margin " + text_of(bound / needed)};
 }
 
 Verdict worst(const std::vector<Verdict>& all) {
@@ -258,8 +258,9 @@
     r.mechanism = "sockets and the loop with it";
     r.state = slope("listed_memory_mb", listed) * 1e6;
     r.messages = slope("servers_probes", listed);
-    r.bytes = slope("discovery_change_bytes", listed) * given("list_changes_each") +
-              exact(given("comments") * given("comment"));
+    r.bytes =
+        slope("discovery_change_bytes", listed) * given(large ? "list_changes_large" : "list_changes_each") +
+        exact(given("comments") * given("comment"));
     r.cpu = slope("listed_idle_cpu_ms", listed);
     r.verdicts = {against(r.cpu, given("cpu"), "processor for control")};
     r.family = "servers listed";
