--- a/bench/capacity/sums.cpp
+++ b/bench/capacity/sums.cpp
@@ -604,7 +604,8 @@
             (lines > 0.0 ? text_of(lines / left) + "~" : "0") + " | " +
             (documents > 0.0 ? text_of(documents * given("document") * 1e-6 / left) + "~" : "0") + " | " +
             (starting > 0.0 ? text_of(starting * given("gaps")) + "~" : "0") + " | " + text_of(quiet) +
-            (quiet.blank() ? "" : " s") + " | " + served + " |\n";
+            (quiet.blank() ? "" : " s, `" + id + "`; " + against(quiet, given("in_force"), "6 s").text) +
+            " | " + served + " |\n";
   };
   const auto restart = [&](const std::string& name, double machines_gone, const std::string& id,
                            const std::string& served) {
