End a distributor whose file can't be written before it says what rests on it

Seen on reading: WriteFile that failed was logged and the rest of the step carried out, so a vote could go out that no file held (net/runtime, carry_out(WriteFile)). A write that is needed ends the program with 1 at that place. runtime_test fails without it; runtime_test and config_distributor_test pass under the sanitizers.

--- a/src/control/config_distributor.cpp
+++ b/src/control/config_distributor.cpp
@@ -97,12 +97,12 @@
   if (!listening_) return;
   bool index = false;
   for (const std::size_t bucket : std::exchange(unsaved_, {})) {
-    effects.push_back(net::WriteFile{path_of(bucket), text_of(core_.records_in(bucket))});
+    effects.push_back(net::WriteFile{path_of(bucket), text_of(core_.records_in(bucket)), true});
     counters_.add("distributor.buckets_written");
     index = known_.insert(bucket).second || index;
   }
   if (!voted_ && core_.standing() == Standing::voting) index = voted_ = true;
-  if (index) effects.push_back(net::WriteFile{index_path(), index_text()});
+  if (index) effects.push_back(net::WriteFile{index_path(), index_text(), true});
 }
 
 void ConfigDistributor::on(Time, const net::Started&, Outbox& out) {
--- a/src/net/events.h
+++ b/src/net/events.h
@@ -192,6 +192,8 @@
 struct WriteFile {  // whole, or not at all: the old one stays until the new one is on disk
   std::string path;
   std::string text;
+  // What comes after it in the step rests on it: where it can't be written the program ends at once, with 1.
+  bool needed = false;
 };
 struct Log {
   Level level{};
--- a/src/net/runtime.cpp
+++ b/src/net/runtime.cpp
@@ -593,8 +593,10 @@
     constexpr auto kFlags =
         static_cast<GFileSetContentsFlags>(G_FILE_SET_CONTENTS_CONSISTENT | G_FILE_SET_CONTENTS_DURABLE);
     if (!g_file_set_contents_full(e.path.c_str(), e.text.data(), static_cast<gssize>(e.text.size()), kFlags,
-                                  0600, &error))
+                                  0600, &error)) {
       logger_.line(Level::error, "cannot write " + e.path + ": " + text_of(error));
+      if (e.needed) carry_out(Exit{1});
+    }
   }
 
   void carry_out(const ReadFile& e) {
--- a/tests/config_distributor_test.cpp
+++ b/tests/config_distributor_test.cpp
@@ -217,6 +217,7 @@
   }
   void carry_out(Program& p, const net::ArmTimer& e) { p.timers.emplace(e.at, e.key); }
   void carry_out(Program& p, const net::WriteFile& e) {
+    CHECK(e.needed);  // a vote that no file holds must not go out
     ++p.writes;
     if (p.files != nullptr) (*p.files)[e.path] = e.text;
   }
--- a/tests/runtime_test.cpp
+++ b/tests/runtime_test.cpp
@@ -416,9 +416,28 @@
   CHECK_EQ(status, 0);
 }
 
+// A distributor's vote went out though the file that was to keep it could not be written.
+void nothing_rests_on_a_file_that_is_not_written() {
+  for (const bool needed : {true, false}) {
+    const Socket other = Socket::bound(SOCK_DGRAM);
+    net::Runtime runtime({}, net::Logger(net::Level::error));
+    const int status = runtime.run([&](Time, const net::Event& event, net::Effects& effects) {
+      if (!std::holds_alternative<net::Started>(event)) return;
+      effects.push_back(net::Bind{net::Concern::fleet, "127.0.0.1:0"});
+      effects.push_back(net::WriteFile{"/nowhere/at/all", "a vote", needed});
+      effects.push_back(
+          net::SendDatagram{net::Concern::fleet, "127.0.0.1:" + std::to_string(other.port()), "voted"});
+      effects.push_back(net::Exit{0});
+    });
+    CHECK_EQ(status, needed ? 1 : 0);
+    CHECK_EQ(other.some(64), needed ? "" : "voted");
+  }
+}
+
 }  // namespace
 
 int main() {
+  nothing_rests_on_a_file_that_is_not_written();
   signals_before_the_loop_are_not_lost();
   a_callers_end_is_told_ahead_of_what_is_unread();
   a_callers_end_is_told_while_reading_is_held_back();
