Distribute configuration: less work at each save and fetch of a distributor

Need: a save went through all records, and each document learned of peers through all that were wanted. Change: services by bucket; peers are asked for more when half of the answers have come.

--- a/src/distribution/distributor.cpp
+++ b/src/distribution/distributor.cpp
@@ -43,19 +43,23 @@
 
 std::map<std::string, Record> Distributor::records_in(std::size_t bucket) const {
   std::map<std::string, Record> records;
-  for (const auto& [service, record] : records_) {
-    if (bucket_of(service) == bucket) records.emplace(service, record);
-  }
+  for (const std::string& service : buckets_.at(bucket)) records.emplace(service, records_.at(service));
   return records;
 }
 
-Stamp Distributor::committed(std::string_view service) const {
-  const auto it = records_.find(std::string(service));
+Record& Distributor::record_of(const std::string& service) {
+  const auto [it, fresh] = records_.try_emplace(service);
+  if (fresh) buckets_[bucket_of(service)].insert(service);
+  return it->second;
+}
+
+Stamp Distributor::committed(const std::string& service) const {
+  const auto it = records_.find(service);
   return it != records_.end() && it->second.committed ? it->second.committed->stamp : Stamp{};
 }
 
-Version Distributor::seen(std::string_view service) const {
-  const auto it = records_.find(std::string(service));
+Version Distributor::seen(const std::string& service) const {
+  const auto it = records_.find(service);
   return it != records_.end() ? it->second.seen : 0;
 }
 
@@ -81,7 +85,7 @@
 
 void Distributor::on(Time now, const Restored& e, DistributorEffects& out) {
   for (const auto& [service, record] : e.records) {
-    Record& kept = records_[service];
+    Record& kept = record_of(service);
     kept = record;
     for (const auto* document : {&record.committed, &record.accepted}) {
       if (*document) kept.seen = std::max(kept.seen, (*document)->stamp.version);
@@ -150,7 +154,7 @@
     happened(DistributorTold::full, d.service, d.stamp.version, "services", out);
     return false;
   }
-  Record& record = records_[d.service];
+  Record& record = record_of(d.service);
   const Document document = d;  // it may be the accepted one
   record.committed = document;
   record.seen = std::max(record.seen, document.stamp.version);
@@ -215,7 +219,7 @@
   publication.accepted.clear();
   publication.refused.clear();
   publication.number_taken = false;
-  Record& record = records_[d.service];
+  Record& record = record_of(d.service);
   record.accepted = d;
   record.seen = number;
   out.emplace_back(Save{bucket_of(d.service)});
@@ -310,7 +314,7 @@
     happened(DistributorTold::full, d.service, d.stamp.version, "services", out);
     return refuse();
   }
-  Record& record = records_[d.service];
+  Record& record = record_of(d.service);
   // The same one for a second time, after its answer was lost, has the same answer.
   const bool again = record.accepted == d;
   if (!again && d.stamp.version <= record.seen) {
@@ -374,7 +378,7 @@
     // others were faster.
     const Version highest = std::max(entry.seen, entry.stamp.version);
     if (standing_ != Standing::voting && highest > seen(entry.service)) {
-      records_[entry.service].seen = highest;
+      record_of(entry.service).seen = highest;
       touched.insert(bucket_of(entry.service));
     }
     const Stamp known = committed(entry.service);
@@ -386,7 +390,7 @@
         happened(DistributorTold::conflict, entry.service, known.version, "a peer's", out);
     } else {
       wants_[entry.service].has[e.peer] = entry.stamp;
-      const Record& record = records_[entry.service];
+      const Record& record = record_of(entry.service);
       // What was accepted here need not be fetched.
       if (record.accepted && record.accepted->stamp == entry.stamp)
         commit(now, Document(*record.accepted), out);
@@ -432,9 +436,10 @@
   fetch_more(now, out);
 }
 
-// Cost: linear in what is wanted of peers.
-void Distributor::fetch_more(Time now, DistributorEffects& out) {
-  if (wants_.empty()) return;
+// Cost: linear in what is wanted of peers, so it is looked at when half of the answers have come, or at a
+// tick.
+void Distributor::fetch_more(Time now, DistributorEffects& out, bool at_tick) {
+  if (wants_.empty() || (!at_tick && fetching_ > kMostPeerFetches / 2)) return;
   struct Candidate {
     Version version;
     const std::string* service;
@@ -727,7 +732,7 @@
   ticked_ = now;
   subscribe(now, out);
   recover(now, out);
-  fetch_more(now, out);
+  fetch_more(now, out, true);
   std::vector<std::uint64_t> due;
   for (const auto& [id, p] : publications_) {
     if (now >= p.when) due.push_back(id);
@@ -768,7 +773,7 @@
 
 Distributor::Status Distributor::status(std::string_view service) const {
   Status status;
-  status.committed = committed(service);
+  status.committed = committed(std::string(service));
   const auto it = by_service_.find(service);
   if (it == by_service_.end()) return status;
   for (const ClientId id : it->second) {
--- a/src/distribution/distributor.h
+++ b/src/distribution/distributor.h
@@ -27,6 +27,7 @@
 // services each, kMostProposals proposals of one's own, kMostQueued documents waiting to be delivered.
 #pragma once
 
+#include <array>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -265,7 +266,7 @@
 
   Standing standing() const { return standing_; }
   static std::size_t bucket_of(std::string_view service);
-  std::map<std::string, Record> records_in(std::size_t bucket) const;
+  std::map<std::string, Record> records_in(std::size_t bucket) const;  // linear in the bucket
   const std::map<std::string, Record>& records() const { return records_; }
 
   // How far a service's document has come among the gatekeepers that count themselves here (`primary`).
@@ -371,8 +372,9 @@
   void on(Time now, const Tick& e, DistributorEffects& out);
 
   std::size_t majority() const { return (settings_.peers + 1) / 2 + 1; }
-  Stamp committed(std::string_view service) const;
-  Version seen(std::string_view service) const;
+  Record& record_of(const std::string& service);
+  Stamp committed(const std::string& service) const;
+  Version seen(const std::string& service) const;
   bool may_subscribe(Time now) const;
   bool may_complete(const Client& client) const;
   bool has_room_for(const std::string& service) const;
@@ -388,7 +390,7 @@
   void notify(Time now, ClientId id, Client& client, DistributorEffects& out);
   void drop(Time now, ClientId id);
   void close(Time now, ClientId id, const std::string& why, DistributorEffects& out);
-  void fetch_more(Time now, DistributorEffects& out);
+  void fetch_more(Time now, DistributorEffects& out, bool at_tick = false);
   void deliver(Time now, DistributorEffects& out);
   void look_at(Time now, const std::string& service, const Stamp& in_force, DistributorEffects& out);
   void ask_more(Time now, DistributorEffects& out);
@@ -399,6 +401,7 @@
   DistributorSettings settings_;
   Standing standing_ = Standing::is_new;
   std::map<std::string, Record> records_;
+  std::array<std::set<std::string>, kBuckets> buckets_;  // the services of each
   std::mt19937_64 random_;
   bool born_known_ = false;
   Time born_{};
