--- /dev/null
+++ b/lab/config_rig.cpp
@@ -0,0 +1,560 @@
+#include "lab/config_rig.h"
+
+#include <netinet/tcp.h>
+#include <sys/epoll.h>
+#include <sys/prctl.h>
+#include <sys/resource.h>
+#include <sys/stat.h>
+
+#include <algorithm>
+#include <cmath>
+#include <filesystem>
+
+#include "programs.h"
+
+namespace graniterun::lab {
+
+using nlohmann::json;
+using namespace std::chrono_literals;
+using Steady = std::chrono::steady_clock;
+
+Nanos steady_now() {
+  return std::chrono::duration_cast<std::chrono::nanoseconds>(Steady::now().time_since_epoch()).count();
+}
+
+// ---- a program
+
+Child::Child(const std::vector<std::string>& command, const std::string& log) {
+  int in[2];
+  int out[2];
+  CHECK(::pipe2(in, O_CLOEXEC) == 0);
+  CHECK(::pipe2(out, O_CLOEXEC) == 0);
+  std::vector<char*> arguments;
+  for (const std::string& a : command) arguments.push_back(const_cast<char*>(a.c_str()));
+  arguments.push_back(nullptr);
+  pid_ = ::fork();
+  CHECK(pid_ >= 0);
+  if (pid_ == 0) {
+    ::prctl(PR_SET_PDEATHSIG, SIGKILL);
+    const int errors = ::open(log.c_str(), O_CREAT | O_WRONLY | O_APPEND, 0600);
+    ::dup2(in[0], 0);
+    ::dup2(out[1], 1);
+    ::dup2(errors, 2);
+    ::signal(SIGPIPE, SIG_DFL);
+    ::execv(arguments[0], arguments.data());
+    ::_exit(127);
+  }
+  ::close(in[0]);
+  ::close(out[1]);
+  in_ = in[1];
+  out_ = out[0];
+  ::fcntl(out_, F_SETFL, O_NONBLOCK);
+}
+
+Child::~Child() {
+  ::kill(pid_, SIGKILL);
+  ::waitpid(pid_, nullptr, 0);
+  ::close(in_);
+  ::close(out_);
+}
+
+void Child::say(const std::string& line) const {
+  [[maybe_unused]] const auto written = ::write(in_, line.data(), line.size());
+}
+
+// ---- the journal
+
+JournalStandIn::JournalStandIn(const json& hosts) {
+  first_ = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\nid: 1\ndata: " +
+           json{{"hosts", hosts}}.dump() + "\n\n";
+  listener_ = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
+  sockaddr_in address = test::loopback(0);
+  CHECK(::bind(listener_, reinterpret_cast<const sockaddr*>(&address), sizeof address) == 0);
+  CHECK(::listen(listener_, 4096) == 0);
+  socklen_t size = sizeof address;
+  ::getsockname(listener_, reinterpret_cast<sockaddr*>(&address), &size);
+  port_ = ntohs(address.sin_port);
+  thread_ = std::thread([this] { run(); });
+}
+
+JournalStandIn::~JournalStandIn() {
+  ends_ = true;
+  thread_.join();
+}
+
+void JournalStandIn::run() {
+  const int epoll = ::epoll_create1(EPOLL_CLOEXEC);
+  epoll_event e{EPOLLIN, {.fd = listener_}};
+  ::epoll_ctl(epoll, EPOLL_CTL_ADD, listener_, &e);
+  std::set<int> open;
+  const auto end = [&](int fd) {
+    ::close(fd);
+    open.erase(fd);
+    connections_ = open.size();
+  };
+  auto next = Steady::now();
+  std::array<epoll_event, 256> events;
+  char buffer[4096];
+  while (!ends_) {
+    const int count = ::epoll_wait(epoll, events.data(), events.size(), 20);
+    for (int i = 0; i < count; ++i) {
+      const int fd = events[static_cast<std::size_t>(i)].data.fd;
+      if (fd == listener_) {
+        int one = -1;
+        while ((one = ::accept4(listener_, nullptr, nullptr, SOCK_CLOEXEC | SOCK_NONBLOCK)) >= 0) {
+          const int on = 1;
+          ::setsockopt(one, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+          epoll_event watch{EPOLLIN, {.fd = one}};
+          ::epoll_ctl(epoll, EPOLL_CTL_ADD, one, &watch);
+          open.insert(one);
+          connections_ = open.size();
+        }
+        continue;
+      }
+      // Its one request comes in one piece.
+      if (::recv(fd, buffer, sizeof buffer, 0) <= 0 ||
+          ::send(fd, first_.data(), first_.size(), MSG_NOSIGNAL) < 0)
+        end(fd);
+    }
+    if (Steady::now() < next) continue;
+    next = Steady::now() + 1s;
+    for (const int fd : std::set<int>(open)) {
+      if (::send(fd, ":\n\n", 3, MSG_NOSIGNAL) < 0 && errno != EAGAIN) end(fd);
+    }
+  }
+  for (const int fd : open) ::close(fd);
+  ::close(listener_);
+  ::close(epoll);
+}
+
+// ---- who subscribes to what
+
+Spread::Spread(std::size_t gatekeepers)
+    : gatekeepers_(gatekeepers), services_(std::max<std::size_t>(4, gatekeepers * 2000 / 13'000)) {
+  for (std::size_t i = 0; i < gatekeepers_; ++i) {
+    for (const std::string& s : of(i)) ++subscribers_[s];
+  }
+}
+
+// A fifth of the gatekeepers belongs to one service in a hundred, the others evenly to the rest.
+std::string Spread::own(std::size_t i) const {
+  const std::size_t large = std::max<std::size_t>(1, services_ / 100);
+  const std::size_t one = i % 5 == 0 ? (i / 5) % large : large + (i - i / 5) % (services_ - large);
+  return "s" + std::to_string(one);
+}
+
+std::vector<std::string> Spread::of(std::size_t i) const {
+  return {kForAll, "region-" + std::to_string(i % 3), "zone-" + std::to_string(i % 8), own(i)};
+}
+
+std::size_t Spread::subscribers(const std::string& service) const {
+  const auto it = subscribers_.find(service);
+  return it == subscribers_.end() ? 0 : it->second;
+}
+
+std::vector<std::string> Spread::all() const {
+  std::vector<std::string> names;
+  for (const auto& [name, count] : subscribers_) names.push_back(name);
+  return names;
+}
+
+// ---- the rig
+
+namespace {
+
+std::vector<int> free_ports(std::size_t count) {
+  std::vector<test::Socket> held;
+  std::vector<int> ports;
+  for (std::size_t i = 0; i < count; ++i) {
+    held.push_back(test::Socket::bound(SOCK_STREAM));
+    ports.push_back(held.back().port());
+  }
+  return ports;
+}
+
+json hosts_of(const std::vector<std::string>& servers) {
+  const json config = bench::config_of("127.0.0.1:1", servers, 0, 1);
+  return config["known"]["entries"][0]["hosts"];
+}
+
+std::vector<std::string> addresses(std::size_t count) {
+  std::vector<std::string> all;
+  for (const int port : free_ports(count)) all.push_back(bench::at(port));
+  return all;
+}
+
+}  // namespace
+
+ConfigRig::ConfigRig(ConfigPlan plan)
+    : plan_(std::move(plan)),
+      spread_(plan_.light + plan_.real),
+      servers_(addresses(std::max<std::size_t>(1, plan_.real))),
+      journal_(hosts_of(servers_)),
+      distributors_(plan_.distributors),
+      hosts_(plan_.processes),
+      real_(plan_.real) {
+  CHECK(plan_.distributors + plan_.processes + plan_.real < 200);
+  const char* tmp = ::getenv("TMPDIR");
+  dir_ = std::string(tmp != nullptr ? tmp : "/tmp") + "/graniterun-config-" + std::to_string(::getpid()) +
+         "-" + std::to_string(journal_.port());
+  std::filesystem::create_directories(dir_);
+  key_file_ = dir_ + "/key";
+  std::mt19937_64 random(plan_.seed);
+  std::ofstream key(key_file_);
+  for (int i = 0; i < 64; ++i) key << std::hex << (random() % 16);
+  key << '\n';
+  key.close();
+  ::chmod(key_file_.c_str(), 0600);
+  const std::vector<int> ports = free_ports(plan_.distributors + 2 * plan_.real);
+  for (std::size_t i = 0; i < plan_.distributors; ++i) {
+    distributors_[i].port = ports[i];
+    distributors_[i].dir = dir_ + "/distributor-" + std::to_string(i);
+    std::filesystem::create_directories(distributors_[i].dir);
+  }
+  for (std::size_t i = 0; i < plan_.real; ++i) {
+    real_[i].listen = ports[plan_.distributors + 2 * i];
+    real_[i].control = ports[plan_.distributors + 2 * i + 1];
+  }
+  relay_ = std::make_unique<StreamRelay>(
+      std::vector<int>(ports.begin(), ports.begin() + static_cast<std::ptrdiff_t>(plan_.distributors)));
+  reader_ = std::thread([this] { read_all(); });
+}
+
+ConfigRig::~ConfigRig() {
+  ends_ = true;
+  reader_.join();
+  real_.clear();
+  hosts_.clear();
+  distributors_.clear();
+  std::error_code ignored;
+  if (::getenv("GRANITERUN_KEEP") == nullptr) std::filesystem::remove_all(dir_, ignored);
+}
+
+std::size_t ConfigRig::light_of(std::size_t host) const {
+  return plan_.light * (host + 1) / plan_.processes - plan_.light * host / plan_.processes;
+}
+std::size_t ConfigRig::first_of(std::size_t host) const {
+  return plan_.real + plan_.light * host / plan_.processes;
+}
+
+json ConfigRig::configuration(std::size_t gatekeeper, bool by_relay) const {
+  json list = json::array();
+  for (std::size_t i = 0; i < distributors_.size(); ++i)
+    list.push_back(bench::at(by_relay ? relay_->port(i) : distributors_[i].port));
+  return {{"distributors", list}, {"services", spread_.of(gatekeeper)}, {"key_file", key_file_}};
+}
+
+void ConfigRig::start_distributor(std::size_t i) {
+  Distributor& d = distributors_.at(i);
+  json peers = json::array();
+  for (std::size_t p = 0; p < distributors_.size(); ++p) {
+    if (p != i) peers.push_back(bench::at(distributors_[p].port));
+  }
+  const std::string file = d.dir + ".json";
+  std::ofstream(file) << json{{"name", "d" + std::to_string(i)},
+                              {"listen", bench::at(d.port)},
+                              {"peers", peers},
+                              {"key_file", key_file_},
+                              {"directory", d.dir}};
+  d.child.reset();
+  d.child = std::make_unique<Child>(std::vector<std::string>{plan_.distributor, file}, d.dir + ".log");
+}
+void ConfigRig::kill_distributor(std::size_t i) { distributors_.at(i).child.reset(); }
+void ConfigRig::forget_files(std::size_t i) {
+  std::error_code ignored;
+  std::filesystem::remove_all(distributors_.at(i).dir, ignored);
+  std::filesystem::create_directories(distributors_.at(i).dir);
+}
+
+void ConfigRig::start_host(std::size_t i) {
+  const bool by_relay = i + plan_.behind_relay >= hosts_.size();
+  json all = json::array();
+  for (std::size_t g = first_of(i); g < first_of(i) + light_of(i); ++g)
+    all.push_back({{"name", "g" + std::to_string(g)}, {"services", spread_.of(g)}});
+  json base = bench::config_of("127.0.0.1:1", {}, 0, static_cast<int>(size()));
+  base["journal"] = bench::at(journal_.port());
+  base.erase("known");
+  const std::string file = dir_ + "/hollow-" + std::to_string(i);
+  std::ofstream(file + ".json") << json{
+      {"base", base},
+      {"deploy",
+       {{"configuration", configuration(first_of(i), by_relay)}, {"control", {{"listen", "127.0.0.1:0"}}}}},
+      {"key_file", key_file_},
+      {"interval_ms", plan_.interval_ms},
+      {"lasts_s", plan_.lasts_s},
+      {"gatekeepers", all}};
+  auto child = std::make_unique<Child>(std::vector<std::string>{plan_.hollow, file + ".json"}, file + ".log");
+  const std::lock_guard lock(mutex_);
+  hosts_.at(i).child = std::move(child);
+}
+
+void ConfigRig::kill_host(std::size_t i) {
+  const std::lock_guard lock(mutex_);
+  Host& h = hosts_.at(i);
+  h.child.reset();
+  for (const auto of : {&Totals::stale, &Totals::back, &Totals::mixed, &Totals::conflict, &Totals::unsound,
+                        &Totals::refused, &Totals::bytes, &Totals::cpu_ns, &Totals::lists, &Totals::restarts})
+    h.before.*of += h.totals.*of;
+  h.totals = {};
+  h.force.clear();
+  h.half.clear();
+}
+
+void ConfigRig::restart_hollow(std::size_t host, std::size_t count) {
+  hosts_.at(host).child->say(json{{"restart", count}}.dump() + "\n");
+}
+
+std::string ConfigRig::real_listen(std::size_t i) const { return bench::at(real_.at(i).listen); }
+
+std::string ConfigRig::real_config(std::size_t i) const {
+  json config = bench::config_of(real_listen(i), servers_, static_cast<int>(i), static_cast<int>(size()));
+  // Every server takes both classes.
+  json pools = json::array();
+  for (std::size_t s = 0; s < servers_.size(); ++s) pools.push_back(s);
+  config["settings"]["familyInfo"]["poolsByClass"] = {pools, pools};
+  config["settings"]["replicasOfMe"] = plan_.real;
+  config["name"] = "g" + std::to_string(i);
+  config["journal"] = bench::at(journal_.port());
+  return config.dump();
+}
+
+void ConfigRig::start_real(std::size_t i) {
+  const json deploy = {{"configuration", configuration(i, false)},
+                       {"control", {{"listen", bench::at(real_.at(i).control)}}}};
+  auto program = std::make_unique<test::Program>(plan_.gatekeeper, real_config(i), deploy.dump(), -1,
+                                                 [] { ::prctl(PR_SET_PDEATHSIG, SIGKILL); });
+  const std::lock_guard lock(mutex_);
+  real_.at(i).program = std::move(program);
+}
+void ConfigRig::kill_real(std::size_t i) {
+  const std::lock_guard lock(mutex_);
+  real_.at(i).program.reset();
+  real_.at(i).force.clear();
+  real_.at(i).asked = {};
+  real_.at(i).half.clear();
+}
+
+void ConfigRig::start_all() {
+  for (std::size_t i = 0; i < distributors_.size(); ++i) start_distributor(i);
+  for (std::size_t i = 0; i < hosts_.size(); ++i) start_host(i);
+  for (std::size_t i = 0; i < real_.size(); ++i) start_real(i);
+}
+
+// ---- an operator's lines
+
+json ConfigRig::ask(std::size_t i, const json& line, std::chrono::milliseconds most) const {
+  const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  const test::Socket socket(fd);
+  const sockaddr_in address = test::loopback(distributors_.at(i).port);
+  if (::connect(fd, reinterpret_cast<const sockaddr*>(&address), sizeof address) != 0) return nullptr;
+  const std::string text = line.dump() + "\n";
+  if (::send(fd, text.data(), text.size(), MSG_NOSIGNAL) != static_cast<ssize_t>(text.size())) return nullptr;
+  const auto end = Steady::now() + most;
+  std::string got;
+  while (true) {
+    const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(end - Steady::now()).count();
+    pollfd p{fd, POLLIN, 0};
+    if (left <= 0 || ::poll(&p, 1, static_cast<int>(left)) <= 0) return nullptr;
+    char buffer[16384];
+    const ssize_t count = ::recv(fd, buffer, sizeof buffer, 0);
+    if (count <= 0) return nullptr;
+    got.append(buffer, static_cast<std::size_t>(count));
+    for (std::size_t at = got.find('\n'); at != std::string::npos; at = got.find('\n')) {
+      json answer = json::parse(got.substr(0, at), nullptr, false);
+      got.erase(0, at + 1);
+      if (answer.is_object() && answer.contains("re")) return answer;
+    }
+  }
+}
+
+std::optional<std::uint64_t> ConfigRig::publish(std::size_t i, const std::string& service,
+                                                const std::string& content, std::string* trouble) {
+  const json answer =
+      ask(i, {{"op", "config"}, {"what", "publish"}, {"service", service}, {"content", content}}, 10s);
+  if (answer.is_object() && answer.value("ok", false)) return answer.value("version", std::uint64_t{0});
+  if (trouble != nullptr) *trouble = answer.is_object() ? answer.value("trouble", "refused") : "no answer";
+  return std::nullopt;
+}
+
+// ---- the record
+
+ConfigRig::Force ConfigRig::force(const std::string& service, std::uint64_t version) const {
+  const std::lock_guard lock(mutex_);
+  Force all;
+  const auto add = [&all](const Force& f) {
+    all.now += f.now;
+    if (f.first != 0) all.first = all.first == 0 ? f.first : std::min(all.first, f.first);
+    all.last = std::max(all.last, f.last);
+  };
+  for (const Host& h : hosts_) {
+    if (const auto it = h.force.find({service, version}); it != h.force.end()) add(it->second);
+  }
+  for (const Real& r : real_) {
+    const auto it = r.force.find(service);
+    if (it == r.force.end() || it->second != version) continue;
+    const Nanos at = r.taken.at({service, version});
+    add({1, at, at});
+  }
+  return all;
+}
+
+std::size_t ConfigRig::refused(const std::string& service, std::uint64_t version) const {
+  const std::lock_guard lock(mutex_);
+  std::size_t count = 0;
+  for (const Host& h : hosts_) {
+    if (const auto it = h.refused.find({service, version}); it != h.refused.end()) count += it->second;
+  }
+  for (const Real& r : real_) count += r.refused.contains({service, version}) ? 1 : 0;
+  return count;
+}
+
+ConfigRig::Totals ConfigRig::totals_of(std::size_t host) const {
+  const std::lock_guard lock(mutex_);
+  return hosts_.at(host).totals;
+}
+
+ConfigRig::Totals ConfigRig::totals() const {
+  const std::lock_guard lock(mutex_);
+  Totals all;
+  all.mixed = mixed_;
+  all.back = back_;
+  for (const Host& h : hosts_) {
+    all.up += h.totals.up;
+    all.ready += h.totals.ready;
+    all.at = std::max(all.at, h.totals.at);
+    all.memory += h.totals.memory;
+    for (const auto of :
+         {&Totals::stale, &Totals::back, &Totals::mixed, &Totals::conflict, &Totals::unsound,
+          &Totals::refused, &Totals::bytes, &Totals::cpu_ns, &Totals::lists, &Totals::restarts})
+      all.*of += h.totals.*of + h.before.*of;
+  }
+  return all;
+}
+
+bool ConfigRig::real_ready(std::size_t i) const {
+  const std::lock_guard lock(mutex_);
+  return real_.at(i).ready;
+}
+
+bool ConfigRig::until(std::chrono::milliseconds most, const std::function<bool()>& holds) {
+  const auto end = Steady::now() + most;
+  while (!holds()) {
+    if (Steady::now() > end) return false;
+    std::this_thread::sleep_for(10ms);
+  }
+  return true;
+}
+
+// The lines of the hollow processes, and what the real ones answer when they are asked. A real one is asked
+// only while changes are looked at: the question is no part of what it does by itself.
+void ConfigRig::read_all() {
+  while (!ends_) {
+    std::vector<pollfd> polls;
+    {
+      const std::lock_guard lock(mutex_);
+      for (const Host& h : hosts_) polls.push_back({h.child ? h.child->out() : -1, POLLIN, 0});
+      for (Real& r : real_) {
+        ask_real(r);
+        polls.push_back({r.asked ? r.asked->descriptor() : -1, POLLIN, 0});
+      }
+    }
+    ::poll(polls.data(), polls.size(), 5);
+    const std::lock_guard lock(mutex_);
+    char buffer[65536];
+    for (std::size_t i = 0; i < polls.size(); ++i) {
+      if (polls[i].revents == 0) continue;
+      const bool is_host = i < hosts_.size();
+      Host* host = is_host ? &hosts_[i] : nullptr;
+      Real* real = is_host ? nullptr : &real_[i - hosts_.size()];
+      const int fd =
+          is_host ? (host->child ? host->child->out() : -1) : (real->asked ? real->asked->descriptor() : -1);
+      if (fd != polls[i].fd) continue;  // killed meanwhile
+      std::string& half = is_host ? host->half : real->half;
+      const ssize_t got =
+          is_host ? ::read(fd, buffer, sizeof buffer) : ::recv(fd, buffer, sizeof buffer, MSG_DONTWAIT);
+      if (got <= 0) {
+        if (!is_host && (got == 0 || errno != EAGAIN)) real->asked.reset();
+        continue;
+      }
+      half.append(buffer, static_cast<std::size_t>(got));
+      std::size_t begin = 0;
+      for (std::size_t end = half.find('\n'); end != std::string::npos; end = half.find('\n', begin)) {
+        const json line = json::parse(half.begin() + static_cast<std::ptrdiff_t>(begin),
+                                      half.begin() + static_cast<std::ptrdiff_t>(end), nullptr, false);
+        begin = end + 1;
+        if (!line.is_object()) continue;
+        is_host ? take(*host, line) : take(*real, line);
+      }
+      half.erase(0, begin);
+    }
+  }
+}
+
+void ConfigRig::ask_real(Real& r) {
+  if (!asking_ || !r.program || (r.waits && steady_now() - r.asked_at < 1'000'000'000)) return;
+  if (steady_now() - r.asked_at < 20'000'000) return;
+  r.asked_at = steady_now();
+  if (!r.asked) {
+    const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    auto socket = std::make_unique<test::Socket>(fd);
+    const sockaddr_in address = test::loopback(r.control);
+    if (::connect(fd, reinterpret_cast<const sockaddr*>(&address), sizeof address) != 0) return;
+    r.asked = std::move(socket);
+    r.half.clear();
+  }
+  const std::string line = "{\"op\":\"configuration\",\"what\":\"held\"}\n";
+  r.waits = ::send(r.asked->descriptor(), line.data(), line.size(), MSG_NOSIGNAL | MSG_DONTWAIT) > 0;
+  if (!r.waits) r.asked.reset();
+}
+
+void ConfigRig::agree(const std::string& service, std::uint64_t version, const std::string& digest) {
+  std::string& known = digests_[{service, version}];
+  if (known.empty()) known = digest;
+  mixed_ += known != digest ? 1 : 0;
+}
+
+void ConfigRig::take(Real& r, const json& line) {
+  r.waits = false;
+  r.ready = line.value("ready", false);
+  for (const json& one : line.value("services", json::array())) {
+    const std::string service = one.value("service", "");
+    const std::uint64_t version = one.value("version", std::uint64_t{0});
+    if (one.contains("refused"))
+      r.refused.insert({service, one["refused"].value("version", std::uint64_t{0})});
+    if (version == 0) continue;
+    agree(service, version, one.value("digest", "").substr(0, 16));
+    std::uint64_t& held = r.force[service];
+    back_ += version < held ? 1 : 0;
+    held = version;
+    r.taken.try_emplace({service, version}, steady_now());
+  }
+}
+
+void ConfigRig::take(Host& h, const json& line) {
+  Totals& t = h.totals;
+  const auto number = [&line](const char* name) { return line.value(name, std::uint64_t{0}); };
+  t.up = number("up");
+  t.ready = number("ready");
+  t.restarts = number("restarts");
+  t.lists = number("lists");
+  t.back = number("back");
+  t.mixed = number("mixed");
+  t.stale = number("stale");
+  t.conflict = number("conflicts");
+  t.unsound = number("unsound");
+  t.refused = number("refusals");
+  t.bytes = number("in") + number("out");
+  t.cpu_ns = number("cpu_ns");
+  t.memory = number("memory");
+  t.at = line.value("t", Nanos{0});
+  for (const json& f : line.value("force", json::array())) {
+    const auto service = f.at(0).get<std::string>();
+    const auto version = f.at(1).get<std::uint64_t>();
+    agree(service, version, f.at(2).get<std::string>());
+    h.force[{service, version}] = {f.at(3).get<std::size_t>(), f.at(4).get<Nanos>(), f.at(5).get<Nanos>()};
+  }
+  for (const json& f : line.value("refused", json::array()))
+    h.refused[{f.at(0).get<std::string>(), f.at(1).get<std::uint64_t>()}] = f.at(2).get<std::size_t>();
+}
+
+}  // namespace graniterun::lab
--- a/src/net/runtime.cpp
+++ b/src/net/runtime.cpp
@@ -60,7 +60,7 @@
 // poll's bits on.
 constexpr auto kPeerClosed = static_cast<GIOCondition>(POLLRDHUP);
 
-// A source of the main loop that ends with its owner.
+// A source of the running thread's loop that ends with its owner.
 class Source {
  public:
   Source() = default;
@@ -77,7 +77,7 @@
     g_source_set_callback(source_, reinterpret_cast<GSourceFunc>(reinterpret_cast<void (*)()>(callback)),
                           data, nullptr);
     g_source_set_priority(source_, priority);
-    g_source_attach(source_, nullptr);
+    g_source_attach(source_, g_main_context_get_thread_default());
   }
   void end() {
     if (source_ == nullptr) return;
@@ -138,7 +138,8 @@
 
   int run(Reducer reducer) {
     reducer_ = std::move(reducer);
-    loop_ = g_main_loop_new(nullptr, FALSE);
+    g_main_context_push_thread_default(context_.get());
+    loop_ = g_main_loop_new(context_.get(), FALSE);
     Source term;
     Source user;
     Source hangup;
@@ -148,14 +149,17 @@
     static GSourceFuncs functions = {nullptr, nullptr, &Impl::dispatch_tick, nullptr, nullptr, nullptr};
     tick.start(g_source_new(&functions, sizeof(GSource)), &Impl::on_tick, this, G_PRIORITY_HIGH);
     tick_ = tick.get();
-    term.start(g_unix_signal_source_new(SIGTERM), &Impl::on_term, this);
-    user.start(g_unix_signal_source_new(SIGUSR1), &Impl::on_user, this);
-    hangup.start(g_unix_signal_source_new(SIGHUP), &Impl::on_hangup, this);
-    const sigset_t held = watched_signals();
-    pthread_sigmask(SIG_UNBLOCK, &held, nullptr);
+    if (limits_.signals) {
+      term.start(g_unix_signal_source_new(SIGTERM), &Impl::on_term, this);
+      user.start(g_unix_signal_source_new(SIGUSR1), &Impl::on_user, this);
+      hangup.start(g_unix_signal_source_new(SIGHUP), &Impl::on_hangup, this);
+      const sigset_t held = watched_signals();
+      pthread_sigmask(SIG_UNBLOCK, &held, nullptr);
+    }
     step(Started{});
     if (!status_) g_main_loop_run(loop_);
     g_main_loop_unref(loop_);
+    g_main_context_pop_thread_default(context_.get());
     tick_ = nullptr;
     return status_.value_or(0);
   }
@@ -853,6 +857,10 @@
     }
   }
 
+  struct UnrefContext {
+    void operator()(GMainContext* context) const { g_main_context_unref(context); }
+  };
+  std::unique_ptr<GMainContext, UnrefContext> context_{g_main_context_new()};  // outlives its sources
   RuntimeLimits limits_;
   Logger logger_;
   Reducer reducer_;
--- a/src/net/runtime.h
+++ b/src/net/runtime.h
@@ -17,6 +17,8 @@
   std::size_t outbound_all = 4 * 1024 * 1024;  // of all connections together; beyond: the fullest is closed
   std::size_t outbound_pause = 128 * 1024;  // reading from the connection waits while so many are not written
   std::size_t accepted_from_each = 64;      // at one turn of the loop
+  // SIGTERM, SIGHUP and SIGUSR1 are told; false: another place of the process handles them.
+  bool signals = true;
 };
 
 struct RuntimeCounters {
@@ -47,6 +49,7 @@
 // Whether the descriptor is a TCP socket that listens.
 bool is_listening_tcp(int descriptor);
 
+// It has a loop of its own: several may run in one process, each in a thread of its own.
 class Runtime {
  public:
   Runtime(RuntimeLimits limits, Logger logger);
