--- a/src/app/gatekeeper.cpp
+++ b/src/app/gatekeeper.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "config/descriptors.h"
+#include "config/documents.h"
 #include "management/telemetry.h"
 
 namespace graniterun {
@@ -88,6 +89,14 @@
       exporter_(exporter_settings(config, deploy), counters_),
       management_(config.management, counters_) {
   broker_.tallies().name(config.class_names);
+  if (deploy.configuration) {
+    subscription_.emplace(*deploy.configuration, counters_,
+                          [this](Time now, const std::vector<distribution::Document>& all, Outbox& out) {
+                            return lay(now, all, out);
+                          });
+  } else {
+    config_.text = {};  // nothing is laid over it
+  }
   if (deploy.sip_server_transport != "platform") {
     trunk_.emplace(
         back::SipTrunkSettings{deploy.sip_server_transport == "tcp", deploy.sip_servers_from, config.seed},
@@ -129,6 +138,12 @@
   part(net::Concern::control) = step_of(control_);
   part(net::Concern::management) = step_of(management_);
   part(net::Concern::fleet) = step_of(fleet_);
+  if (subscription_) {
+    part(net::Concern::configuration) = step_of(*subscription_);
+    control_.answers("configuration", [this](Time, const nlohmann::json& line, Outbox&) {
+      return subscription_->answer(line);
+    });
+  }
   if (deploy_.fleet) {
     control_.answers("fleet", [this](Time now, const nlohmann::json& line, Outbox& out) {
       return fleet_.answer(now, line, out);
@@ -166,6 +181,9 @@
     if (const auto* e = std::get_if<net::TimerFired>(&event)) {
       std::vector<Gauge> gauges = control_.gauges(now);
       for (Gauge& gauge : fleet_.gauges(now)) gauges.push_back(std::move(gauge));
+      if (subscription_) {
+        for (Gauge& gauge : subscription_->gauges()) gauges.push_back(std::move(gauge));
+      }
       return exporter_.on(now, *e, all_counters(), gauges, out);
     }
     step(now, event, out);
@@ -198,7 +216,7 @@
 // With a successor at work the gatekeeper goes on being ready, though this process is about to end.
 bool Gatekeeper::ready(Time now) const {
   return (!stop_asked_ || config_.inherited) && control_.ready(now) &&
-         (trunk_ ? trunk_->ready() : servers_.ready());
+         (trunk_ ? trunk_->ready() : servers_.ready()) && (!subscription_ || subscription_->ready());
 }
 
 void Gatekeeper::listen(Outbox& out) {
@@ -209,6 +227,7 @@
 
 std::string Gatekeeper::readiness(Time now) const {
   if (stop_asked_) return "ERR this process was asked to stop\n";
+  if (subscription_ && !subscription_->ready()) return "ERR the configuration in force is not told yet\n";
   if (!ready(now)) return "ERR setup servers are not reached yet\n";
   return "OK ready\n";
 }
@@ -230,6 +249,18 @@
   fleet_.count(fleet);
   for (const auto& [name, value] : fleet.all())
     f.more.push_back({"fleet_" + name.substr(name.find('.') + 1), value, 'c'});
+  if (subscription_) {
+    for (const Gauge& g : subscription_->gauges()) {
+      std::string name = "config_" + g.name.substr(g.name.find('.') + 1);
+      for (const auto& [key, value] : g.attributes) name += "." + value;
+      f.more.push_back({name, static_cast<std::uint64_t>(g.value), 'g'});
+    }
+    constexpr std::string_view kOf = "config.distribution.";
+    for (const auto& [name, value] : counters_.all()) {
+      if (name.starts_with(kOf))
+        f.more.push_back({"config_distribution_" + name.substr(kOf.size()), value, 'c'});
+    }
+  }
   return "OK\n" + management::statsd_text(f) + "END\n";
 }
 
@@ -303,6 +334,7 @@
   control_.start(now, out);
   management_.start(now, out);
   fleet_.start(now, out);
+  if (subscription_) subscription_->start(now, out);
 }
 
 void Gatekeeper::on(Time now, const net::StopAsked&, Outbox& out) {
@@ -326,36 +358,64 @@
 }
 
 // The settings and the journal service's address may change while the program runs; calls and connections go
-// on as they are, and a file that is no use changes nothing.
+// on as they are, and a file that is no use changes nothing. What is in force by documents stays so over the
+// new file, which has to be of use without them as well: the next start has it alone.
 void Gatekeeper::on(Time now, const net::FileRead& e, Outbox& out) {
   try {
     if (!e.text) throw BadConfig("cannot read " + e.path);
-    retune(now, read_platform_config(*e.text), out);
+    PlatformConfig file = read_platform_config(*e.text);
+    check_keys(config_, file);
+    if (documents_.empty()) {
+      retune(now, file, out);
+    } else {
+      try {
+        const PlatformConfig whole = read_platform_config(laid_over(file.text, documents_));
+        check_keys(file, whole);
+        retune(now, whole, out);
+      } catch (const BadConfig& trouble) {
+        throw BadConfig(std::string("with the documents in force over it: ") + trouble.what());
+      }
+    }
+    counters_.add("config.reloads");
+    out.log(net::Level::info, "the configuration was read again");
+    for (const auto& [what, before, after] :
+         {std::tuple("listen", config_.file_listen, file.file_listen),
+          std::tuple("management", config_.file_management, file.file_management)}) {
+      if (before != after)
+        out.log(net::Level::warning,
+                std::string("'") + what + "' is now '" + after + "': used from the next start on");
+    }
+    config_.keys = std::move(file.keys);
+    config_.file_listen = file.file_listen;
+    config_.file_management = file.file_management;
+    if (!subscription_) return;
+    config_.text = std::move(file.text);
+    subscription_->base_changed(now, out);
   } catch (const BadConfig& trouble) {
     counters_.add("config.reloads_bad");
     out.log(net::Level::error, std::string("the old configuration is kept: ") + trouble.what());
   }
 }
 
+// Documents over the file that was last taken, whole or not at all; what is wrong with them.
+std::optional<std::string> Gatekeeper::lay(Time now, const std::vector<distribution::Document>& documents,
+                                           Outbox& out) {
+  try {
+    const PlatformConfig whole = read_platform_config(laid_over(config_.text, documents));
+    check_keys(config_, whole);
+    retune(now, whole, out);
+  } catch (const BadConfig& trouble) {
+    return trouble.what();
+  }
+  documents_ = documents;
+  return std::nullopt;
+}
+
 // Throws BadConfig before anything has changed.
 void Gatekeeper::retune(Time now, const PlatformConfig& fresh, Outbox& out) {
-  check_keys(config_, fresh);
   auto table = core::placed(classes_, fresh.class_names, fresh.settings.classes, broker_.places_in_use());
-  if (!table)
-    throw BadConfig("open calls hold too many classes of before: send SIGHUP again when they are over");
-  counters_.add("config.reloads");
-  out.log(net::Level::info, "the configuration was read again");
-  for (const auto& [what, before, after] :
-       {std::tuple("listen", config_.file_listen, fresh.file_listen),
-        std::tuple("management", config_.file_management, fresh.file_management)}) {
-    if (before != after)
-      out.log(net::Level::warning,
-              std::string("'") + what + "' is now '" + after + "': used from the next start on");
-  }
+  if (!table) throw BadConfig("open calls hold too many classes of before: try again when they are over");
   classes_ = std::move(*table);
-  config_.keys = fresh.keys;
-  config_.file_listen = fresh.file_listen;
-  config_.file_management = fresh.file_management;
   Settings settings = fresh.settings;
   settings.classes = classes_.places;
   platform_.retune(classes_.classes);
--- a/src/app/gatekeeper.h
+++ b/src/app/gatekeeper.h
@@ -12,6 +12,7 @@
 #include "back/sip_trunk.h"
 #include "config/config.h"
 #include "control/control.h"
+#include "control/subscription.h"
 #include "core/broker.h"
 #include "fleet/fleet.h"
 #include "front/platform.h"
@@ -47,6 +48,7 @@
   std::string telemetry(Time now) const;
   core::Broker::Gate gate();
   void retune(Time now, const PlatformConfig& fresh, Outbox& out);
+  std::optional<std::string> lay(Time now, const std::vector<distribution::Document>& documents, Outbox& out);
   void take_list(Time now, const HostList& list, ListKind kind, Outbox& out);
   const std::string& name_of(ServerId server) const;
   void settle(Time now, Outbox& out);
@@ -56,13 +58,15 @@
   Counters all_counters() const;
   std::string counters_text() const;
 
-  PlatformConfig config_;
-  core::ClassTable classes_;  // those of the settings in force, and of open calls
+  PlatformConfig config_;  // its text and keys: the file's, as last taken, without documents
+  std::vector<distribution::Document> documents_;  // in force over the file
+  core::ClassTable classes_;                       // those of the settings in force, and of open calls
   DeployConfig deploy_;
   std::function<void(Counters&)> more_counters_;
   Counters counters_;
   control::Control control_;
   fleet::Fleet fleet_;
+  std::optional<control::Subscription> subscription_{};  // where configuration is distributed
   core::Broker broker_;
   front::Platform platform_;
   front::Sip sip_;
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -6,6 +6,7 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "distribution/distributor.h"
 #include "proto/jsonl.h"
 #include "wire.h"
 
@@ -180,6 +181,7 @@
   const json whole = parse(source, "the configuration");
   try {
     PlatformConfig c;
+    c.text = source;
     c.name = whole.value("name", std::string("graniterun"));
     c.listen = text(whole, "listen");
     c.journal = whole.value("journal", std::string());
@@ -328,6 +330,40 @@
   c.fleet = std::move(f);
 }
 
+void read_configuration(const json& configuration, const std::string& name, DeployConfig& c) {
+  static const std::set<std::string> kKnown{"distributors", "services", "key_file", "wait_ms"};
+  if (!configuration.is_object()) throw BadConfig("'configuration' is not an object");
+  for (const auto& [key, value] : configuration.items()) {
+    if (!kKnown.contains(key)) throw BadConfig("'configuration' has the unknown key '" + key + "'");
+  }
+  // 1 to so many, none of them twice.
+  const auto list = [&configuration](const char* key, std::size_t most, std::size_t longest) {
+    if (!need(configuration, key).is_array()) throw BadConfig("'" + std::string(key) + "' is not a list");
+    std::vector<std::string> all = names_in(configuration, key, most, longest);
+    if (all.empty()) throw BadConfig("'" + std::string(key) + "' is empty");
+    if (std::set<std::string>(all.begin(), all.end()).size() != all.size())
+      throw BadConfig("'" + std::string(key) + "' has one of them twice");
+    return all;
+  };
+  distribution::SubscriberSettings s;
+  s.name = name;
+  if (!distribution::is_service(name))
+    throw BadConfig("this gatekeeper's name, '" + name +
+                    "', is not 1 to 64 letters, digits, '.', '-' and '_': distributors know it by that");
+  s.distributors = list("distributors", distribution::kMostDistributors, membership::kLongestAddress);
+  for (const std::string& one : s.distributors) {
+    if (!is_address(one)) throw BadConfig("the distributor '" + one + "' is not an address and a port");
+  }
+  s.services = list("services", distribution::kMostSubscribed, distribution::kLongestService);
+  for (const std::string& one : s.services) {
+    if (!distribution::is_service(one))
+      throw BadConfig("the service '" + one + "' is not letters, digits, '.', '-' and '_'");
+  }
+  s.wait = std::chrono::milliseconds(whole(configuration, "wait_ms", 2000, 0, 60'000));
+  c.configuration_key_file = text(configuration, "key_file");
+  c.configuration = std::move(s);
+}
+
 }  // namespace
 
 DeployConfig read_deploy_config(std::string_view source, const std::vector<std::string>& class_names,
@@ -386,6 +422,7 @@
             static_cast<std::uint32_t>(std::distance(roster.begin(), roster.find(c.fleet->membership.name)));
       }
     }
+    if (whole_file.contains("configuration")) read_configuration(whole_file["configuration"], name, c);
     if (whole_file.contains("otlp")) {
       const json& otlp = whole_file["otlp"];
       c.collector = text(otlp, "collector");
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -12,6 +12,7 @@
 
 #include "control/settings.h"
 #include "core/contracts.h"
+#include "distribution/subscriber.h"
 #include "fleet/settings.h"
 #include "graniterun/controller.h"
 
@@ -42,6 +43,7 @@
 
 struct PlatformConfig {
   std::string path{};  // of the file that it came from
+  std::string text{};  // as it was read: what documents are laid over
   std::string name{};
   std::string listen{};
   std::string file_listen{};  // as the file has them: the environment goes before it
@@ -78,6 +80,9 @@
   std::optional<fleet::FleetSettings> fleet{};        // absent: it speaks to no other gatekeeper
   std::string fleet_key_file{};                       // whoever reads the file puts its key into `fleet`
   std::int64_t fleet_clock_offset_ms{};  // added to the clock that lives are taken from: for tests
+  // Absent: it takes its configuration from its file only.
+  std::optional<distribution::SubscriberSettings> configuration{};
+  std::string configuration_key_file{};  // whoever reads the file puts its key into `configuration`
 };
 // Throws BadConfig. Class names, `name` of this gatekeeper and the fleet, where the file does not say it, are
 // those of the platform's configuration.
--- /dev/null
+++ b/src/config/documents.h
@@ -0,0 +1,23 @@
+// Documents of configuration laid over the start configuration's text. Pure.
+#pragma once
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "config/config.h"
+#include "distribution/document.h"
+
+namespace graniterun {
+
+// How deep a document's objects and lists may stand in each other: what reads and writes them goes one call
+// deeper with each.
+constexpr std::size_t kDeepestDocument = 32;
+
+// The text that read_platform_config is to read: `base`, with each document's JSON merge patch (RFC 7396)
+// laid over what came before it, in their order. Throws BadConfig where the base or a document is no JSON
+// object, a document sets anything but `settings` and `journal`, is longer than kLargestDocument or deeper
+// than kDeepestDocument, or there are more than kMostSubscribed. Cost: linear in the texts.
+std::string laid_over(std::string_view base, const std::vector<distribution::Document>& documents);
+
+}  // namespace graniterun
--- /dev/null
+++ b/src/control/subscription.h
@@ -0,0 +1,96 @@
+// A gatekeeper's connections to the distributors of configuration: JSON lines over TCP, by which it is told
+// of documents, fetches them and says what it has in force. A sub-reducer (Concern::configuration). What is
+// taken, refused or asked for again is decided by distribution::Subscriber; this one carries it out, and
+// counts it as config.distribution.*. docs/design/distribution.md tells of the lines.
+//
+// Bounds: a line is at most kLineBound bytes, longer ones and such as are no line of a distributor close that
+// connection; kSources connections; a reason that goes into a line or the log kLongestReason bytes; of each
+// kind one line in the log a second.
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <nlohmann/json_fwd.hpp>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "core/counters.h"
+#include "distribution/subscriber.h"
+#include "net/outbox.h"
+
+namespace graniterun::control {
+
+constexpr std::size_t kLongestReason = 300;  // bytes
+
+class Subscription {
+ public:
+  // Takes the documents, all that are to be in force, whole or not at all. What is wrong with them; nothing:
+  // they are in force.
+  using Apply = std::function<std::optional<std::string>(
+      Time now, const std::vector<distribution::Document>& documents, Outbox& out)>;
+  // Where several share one runtime, each has its own numbers of connections (number + 1, and every `of`th
+  // after it) and its own timer (number).
+  struct Lane {
+    std::uint32_t number = 0;
+    std::uint32_t of = 1;
+  };
+
+  Subscription(distribution::SubscriberSettings settings, Counters& counters, Apply apply);
+  Subscription(distribution::SubscriberSettings settings, Counters& counters, Apply apply, Lane lane);
+
+  void start(Time now, Outbox& out);
+  void on(Time now, const net::Connected& e, Outbox& out);
+  void on(Time now, const net::ConnectFailed& e, Outbox& out);
+  void on(Time now, const net::Received& e, Outbox& out);
+  void on(Time now, const net::Closed& e, Outbox& out);
+  void on(Time now, const net::TimerFired& e, Outbox& out);
+  // What the documents are laid over is another one now.
+  void base_changed(Time now, Outbox& out);
+
+  // It has what was current when it started, or has waited long enough for it.
+  bool ready() const { return subscriber_.ready(); }
+  const distribution::Subscriber& subscriber() const { return subscriber_; }
+  // For the control listener: `configuration` with `what` held.
+  nlohmann::json answer(const nlohmann::json& line) const;
+  // The whole's before the services'.
+  std::vector<Gauge> gauges() const;
+
+ private:
+  struct Link {
+    net::ConnId conn;
+    bool up = false;
+  };
+  static constexpr std::size_t kKinds = static_cast<std::size_t>(distribution::Told::waited_out) + 1;
+  // One line of a kind a second at most.
+  struct Seldom {
+    Time next{};
+    std::uint64_t left_out = 0;
+  };
+
+  void step(Time now, const distribution::SubscriberEvent& event, Outbox& out);
+  void carry_out(Time now, const distribution::SubscriberEffect& effect,
+                 std::vector<distribution::SubscriberEvent>& more, Outbox& out);
+  void note(Time now, const distribution::Happened& e, Outbox& out);
+  void line(Time now, Seldom& kind, net::Level level, std::string text, Outbox& out);
+  void send(std::uint32_t source, const nlohmann::json& line, Outbox& out);
+  void take(Time now, std::uint32_t source, const nlohmann::json& line, Outbox& out);
+  std::optional<std::uint32_t> source_of(net::ConnId conn) const;
+  void give_up(Time now, std::uint32_t source, Outbox& out);
+
+  std::string name_;
+  std::vector<std::string> distributors_;
+  Duration wait_;
+  Counters& counters_;
+  Apply apply_;
+  Lane lane_;
+  distribution::Subscriber subscriber_;
+  std::map<std::uint32_t, Link> links_;  // by distributor
+  std::uint32_t connections_ = 0;
+  std::array<Seldom, kKinds> told_{};
+  Seldom malformed_{};
+};
+
+}  // namespace graniterun::control
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -49,12 +49,19 @@
 
 // What the deploy file does not hold: the key, and what is another one at every start.
 void prepare(DeployConfig& deploy) {
-  if (!deploy.fleet) return;
-  const auto key = fleet::key_in(read_file(deploy.fleet_key_file));
-  if (!key) throw BadConfig("the fleet's key file " + deploy.fleet_key_file + " does not hold 64 hex digits");
-  deploy.fleet->key = *key;
   std::random_device random;
   const auto draw = [&random] { return (static_cast<std::uint64_t>(random()) << 32) | random(); };
+  const auto key_of = [](const char* whose, const std::string& path) {
+    const auto key = fleet::key_in(read_file(path));
+    if (!key) throw BadConfig(std::string(whose) + " key file " + path + " does not hold 64 hex digits");
+    return *key;
+  };
+  if (deploy.configuration) {
+    deploy.configuration->key = key_of("the configuration's", deploy.configuration_key_file);
+    deploy.configuration->seed = draw();
+  }
+  if (!deploy.fleet) return;
+  deploy.fleet->key = key_of("the fleet's", deploy.fleet_key_file);
   membership::Settings& m = deploy.fleet->membership;
   m.birth = draw();
   m.seed = draw();
--- a/src/net/events.h
+++ b/src/net/events.h
@@ -22,10 +22,11 @@
   sip,
   trunk,
   collector,
-  control,     // callers of the control listener
-  announced,   // gatekeepers that an announcer, or a command line, speaks to
-  management,  // operators' one-line calls
-  fleet,       // datagrams among gatekeepers
+  control,        // callers of the control listener
+  announced,      // gatekeepers that an announcer, or a command line, speaks to
+  management,     // operators' one-line calls
+  fleet,          // datagrams among gatekeepers
+  configuration,  // distributors of it
   process
 };
 constexpr std::size_t kConcerns = static_cast<std::size_t>(Concern::process) + 1;
