--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -347,9 +347,10 @@
   };
   distribution::SubscriberSettings s;
   s.name = name;
-  if (!distribution::is_service(name))
-    throw BadConfig("this gatekeeper's name, '" + name +
-                    "', is not 1 to 64 letters, digits, '.', '-' and '_': distributors know it by that");
+  constexpr std::size_t kLongestName = 255;
+  if (name.empty() || name.size() > kLongestName ||
+      std::any_of(name.begin(), name.end(), [](unsigned char one) { return one < 0x20 || one == 0x7f; }))
+    throw BadConfig("this gatekeeper's name is not 1 to 255 bytes long without control characters");
   s.distributors = list("distributors", distribution::kMostDistributors, membership::kLongestAddress);
   for (const std::string& one : s.distributors) {
     if (!is_address(one)) throw BadConfig("the distributor '" + one + "' is not an address and a port");
--- a/src/config/documents.cpp
+++ b/src/config/documents.cpp
@@ -16,7 +16,7 @@
     return "is longer than " + std::to_string(distribution::kLargestDocument) + " bytes";
   bool too_deep = false;
   const auto looks = [&too_deep](int depth, json::parse_event_t, json&) {
-    too_deep = too_deep || depth > static_cast<int>(kDeepestDocument);
+    too_deep = too_deep || depth > kDeepestDocument;
     return !too_deep;  // what is deeper is not kept
   };
   patch = json::parse(content, looks, false);
--- a/src/config/documents.h
+++ b/src/config/documents.h
@@ -10,9 +10,9 @@
 
 namespace graniterun {
 
-// How deep a document's objects and lists may stand in each other: what reads and writes them goes one call
-// deeper with each.
-constexpr std::size_t kDeepestDocument = 32;
+// How deep a document's objects and lists may stand in each other, as where it is published: what reads and
+// writes them goes one call deeper with each.
+constexpr int kDeepestDocument = 64;
 
 // The text that read_platform_config is to read: `base`, with each document's JSON merge patch (RFC 7396)
 // laid over what came before it, in their order. Throws BadConfig where the base or a document is no JSON
--- a/src/control/subscription.cpp
+++ b/src/control/subscription.cpp
@@ -56,7 +56,10 @@
 
 // A text of somebody's settings, as part of a line.
 std::string plain(std::string text) {
-  if (text.size() > kLongestReason) text.resize(kLongestReason);
+  std::size_t most = kToldReason;
+  // Not within a character.
+  while (text.size() > most && most > 0 && (static_cast<unsigned char>(text[most]) & 0xC0) == 0x80) --most;
+  if (text.size() > most) text.resize(most);
   std::replace_if(
       text.begin(), text.end(), [](unsigned char c) { return c < 0x20 || c == 0x7f; }, ' ');
   return text;
--- a/src/control/subscription.h
+++ b/src/control/subscription.h
@@ -4,8 +4,8 @@
 // counts it as config.distribution.*. docs/design/distribution.md tells of the lines.
 //
 // Bounds: a line is at most kLineBound bytes, longer ones and such as are no line of a distributor close that
-// connection; kSources connections; a reason that goes into a line or the log kLongestReason bytes; of each
-// kind one line in the log a second.
+// connection; kSources connections; a reason that goes into a line or the log kToldReason bytes; of each kind
+// one line in the log a second.
 #pragma once
 
 #include <array>
@@ -23,8 +23,6 @@
 
 namespace graniterun::control {
 
-constexpr std::size_t kLongestReason = 300;  // bytes
-
 class Subscription {
  public:
   // Takes the documents, all that are to be in force, whole or not at all. What is wrong with them; nothing:
