--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 SANITIZE = -Wall -Wextra -Werror -Wno-maybe-uninitialized -fsanitize=address,undefined -fno-sanitize-recover=all
 
 .PHONY: build test test-build lint run bench bench-load bench-gap bench-ops bench-fleet bench-fleet-sim \
-  bench-cold soak-fleet
+  bench-cold bench-scale soak-fleet
 
 build:
 	cmake -B $(BUILD) -DCMAKE_BUILD_TYPE=Release
@@ -50,6 +50,12 @@
 bench-cold: bench
 	build-bench/graniterun_cold_bench
 
+# Configuration spread over hollow gatekeepers and real ones, at 100 to LARGEST (3,000) of them. SHORT=1: the same
+# faults on a small scale, under a minute, judged by the record's order and not by times.
+bench-scale: bench
+	build-bench/graniterun_scale_bench build-bench/graniterun build-bench/graniterun_distributor \
+	  build-bench/graniterun_hollow $(if $(SHORT),short,$(LARGEST))
+
 # Long: thousands of seeds of random faults, five minutes of bad weather for real programs and for simulated ones.
 soak-fleet: bench
 	build-bench/graniterun_membership_model 3000
--- a/lab/config_rig.cpp
+++ b/lab/config_rig.cpp
@@ -224,6 +224,8 @@
   ends_ = true;
   reader_.join();
   real_.clear();
+  bare_real_.clear();
+  bare_.child.reset();
   hosts_.clear();
   distributors_.clear();
   std::error_code ignored;
@@ -260,30 +262,39 @@
   d.child = std::make_unique<Child>(std::vector<std::string>{plan_.distributor, file}, d.dir + ".log");
 }
 void ConfigRig::kill_distributor(std::size_t i) { distributors_.at(i).child.reset(); }
+std::string ConfigRig::distributor_log(std::size_t i) const {
+  std::ifstream file(distributors_.at(i).dir + ".log");
+  return {std::istreambuf_iterator<char>(file), {}};
+}
 void ConfigRig::forget_files(std::size_t i) {
   std::error_code ignored;
   std::filesystem::remove_all(distributors_.at(i).dir, ignored);
   std::filesystem::create_directories(distributors_.at(i).dir);
 }
 
+std::unique_ptr<Child> ConfigRig::launch_host(const std::string& name, const json& gatekeepers,
+                                              const json& deploy) const {
+  json base = bench::config_of("127.0.0.1:1", {}, 0, static_cast<int>(size()));
+  base["journal"] = bench::at(journal_.port());
+  base.erase("known");
+  const std::string file = dir_ + "/" + name;
+  std::ofstream(file + ".json") << json{{"base", base},
+                                        {"deploy", deploy},
+                                        {"key_file", key_file_},
+                                        {"interval_ms", plan_.interval_ms},
+                                        {"lasts_s", plan_.lasts_s},
+                                        {"gatekeepers", gatekeepers}};
+  return std::make_unique<Child>(std::vector<std::string>{plan_.hollow, file + ".json"}, file + ".log");
+}
+
 void ConfigRig::start_host(std::size_t i) {
   const bool by_relay = i + plan_.behind_relay >= hosts_.size();
   json all = json::array();
   for (std::size_t g = first_of(i); g < first_of(i) + light_of(i); ++g)
     all.push_back({{"name", "g" + std::to_string(g)}, {"services", spread_.of(g)}});
-  json base = bench::config_of("127.0.0.1:1", {}, 0, static_cast<int>(size()));
-  base["journal"] = bench::at(journal_.port());
-  base.erase("known");
-  const std::string file = dir_ + "/hollow-" + std::to_string(i);
-  std::ofstream(file + ".json") << json{
-      {"base", base},
-      {"deploy",
-       {{"configuration", configuration(first_of(i), by_relay)}, {"control", {{"listen", "127.0.0.1:0"}}}}},
-      {"key_file", key_file_},
-      {"interval_ms", plan_.interval_ms},
-      {"lasts_s", plan_.lasts_s},
-      {"gatekeepers", all}};
-  auto child = std::make_unique<Child>(std::vector<std::string>{plan_.hollow, file + ".json"}, file + ".log");
+  auto child = launch_host(
+      "hollow-" + std::to_string(i), all,
+      {{"configuration", configuration(first_of(i), by_relay)}, {"control", {{"listen", "127.0.0.1:0"}}}});
   const std::lock_guard lock(mutex_);
   hosts_.at(i).child = std::move(child);
 }
@@ -306,17 +317,20 @@
 
 std::string ConfigRig::real_listen(std::size_t i) const { return bench::at(real_.at(i).listen); }
 
-std::string ConfigRig::real_config(std::size_t i) const {
-  json config = bench::config_of(real_listen(i), servers_, static_cast<int>(i), static_cast<int>(size()));
+std::string ConfigRig::config_named(std::size_t i, const std::string& name, const std::string& listen) const {
+  json config = bench::config_of(listen, servers_, static_cast<int>(i), static_cast<int>(size()));
   // Every server takes both classes.
   json pools = json::array();
   for (std::size_t s = 0; s < servers_.size(); ++s) pools.push_back(s);
   config["settings"]["familyInfo"]["poolsByClass"] = {pools, pools};
   config["settings"]["replicasOfMe"] = plan_.real;
-  config["name"] = "g" + std::to_string(i);
+  config["name"] = name;
   config["journal"] = bench::at(journal_.port());
   return config.dump();
 }
+std::string ConfigRig::real_config(std::size_t i) const {
+  return config_named(i, "g" + std::to_string(i), real_listen(i));
+}
 
 void ConfigRig::start_real(std::size_t i) {
   const json deploy = {{"configuration", configuration(i, false)},
@@ -338,6 +352,19 @@
   for (std::size_t i = 0; i < distributors_.size(); ++i) start_distributor(i);
   for (std::size_t i = 0; i < hosts_.size(); ++i) start_host(i);
   for (std::size_t i = 0; i < real_.size(); ++i) start_real(i);
+  json bare = json::array();
+  for (std::size_t i = 0; i < plan_.bare_light; ++i)
+    bare.push_back({{"name", "b" + std::to_string(i)}, {"services", json::array()}});
+  if (!bare.empty()) {
+    auto child = launch_host("bare", bare, json::object());
+    const std::lock_guard lock(mutex_);
+    bare_.child = std::move(child);
+  }
+  const std::vector<int> ports = free_ports(plan_.bare_real);
+  for (std::size_t i = 0; i < plan_.bare_real; ++i)
+    bare_real_.push_back(std::make_unique<test::Program>(
+        plan_.gatekeeper, config_named(i % plan_.real, "b" + std::to_string(i), bench::at(ports[i])),
+        std::string(), -1, [] { ::prctl(PR_SET_PDEATHSIG, SIGKILL); }));
 }
 
 // ---- an operator's lines
@@ -413,6 +440,11 @@
   return hosts_.at(host).totals;
 }
 
+ConfigRig::Totals ConfigRig::bare_totals() const {
+  const std::lock_guard lock(mutex_);
+  return bare_.totals;
+}
+
 ConfigRig::Totals ConfigRig::totals() const {
   const std::lock_guard lock(mutex_);
   Totals all;
@@ -453,6 +485,7 @@
     {
       const std::lock_guard lock(mutex_);
       for (const Host& h : hosts_) polls.push_back({h.child ? h.child->out() : -1, POLLIN, 0});
+      polls.push_back({bare_.child ? bare_.child->out() : -1, POLLIN, 0});
       for (Real& r : real_) {
         ask_real(r);
         polls.push_back({r.asked ? r.asked->descriptor() : -1, POLLIN, 0});
@@ -463,9 +496,9 @@
     char buffer[65536];
     for (std::size_t i = 0; i < polls.size(); ++i) {
       if (polls[i].revents == 0) continue;
-      const bool is_host = i < hosts_.size();
-      Host* host = is_host ? &hosts_[i] : nullptr;
-      Real* real = is_host ? nullptr : &real_[i - hosts_.size()];
+      const bool is_host = i <= hosts_.size();
+      Host* host = !is_host ? nullptr : i < hosts_.size() ? &hosts_[i] : &bare_;
+      Real* real = is_host ? nullptr : &real_[i - hosts_.size() - 1];
       const int fd =
           is_host ? (host->child ? host->child->out() : -1) : (real->asked ? real->asked->descriptor() : -1);
       if (fd != polls[i].fd) continue;  // killed meanwhile
--- a/lab/config_rig.h
+++ b/lab/config_rig.h
@@ -72,10 +72,13 @@
   std::size_t light = 100;    // hollow gatekeepers
   std::size_t processes = 2;  // that host them
   std::size_t real = 2;
-  // The last third of the processes speaks through the relay.
   std::size_t behind_relay = 0;  // processes; the last ones
-  int interval_ms = 100;         // between the lines of a hollow process
-  int lasts_s = 240;             // a hollow process ends by itself then
+  // Gatekeepers without `configuration` and `control`, hollow ones and real ones: what they cost is taken off
+  // what the others cost. The hollow ones stand in a process of their own.
+  std::size_t bare_light = 0;
+  std::size_t bare_real = 0;
+  int interval_ms = 100;  // between the lines of a hollow process
+  int lasts_s = 240;      // a hollow process ends by itself then
   std::uint64_t seed = 1;
 };
 
@@ -119,6 +122,7 @@
   void restart_hollow(std::size_t host, std::size_t count);
   void start_real(std::size_t i);
   void kill_real(std::size_t i);
+  test::Program& bare_real(std::size_t i) { return *bare_real_.at(i); }
   void start_all();
   int real_pid(std::size_t i) const { return real_.at(i).program->pid(); }
   std::string real_listen(std::size_t i) const;
@@ -127,6 +131,7 @@
   std::vector<std::string> servers() const { return servers_; }
   int distributor_port(std::size_t i) const { return distributors_.at(i).port; }
   int distributor_pid(std::size_t i) const { return distributors_.at(i).child->pid(); }
+  std::string distributor_log(std::size_t i) const;
   bool distributor_up(std::size_t i) const { return distributors_.at(i).child != nullptr; }
   // Gatekeepers that speak to the distributors through the relay; each distributor has its own side of it.
   StreamRelay& relay() { return *relay_; }
@@ -167,6 +172,7 @@
   };
   Totals totals() const;
   Totals totals_of(std::size_t host) const;
+  Totals bare_totals() const;
   // Whether real gatekeepers are asked what they have in force, 50 times a second.
   void ask_real_ones(bool on) { asking_ = on; }
   bool real_ready(std::size_t i) const;
@@ -206,6 +212,9 @@
   void ask_real(Real& real);
   void agree(const std::string& service, std::uint64_t version, const std::string& digest);
   json configuration(std::size_t gatekeeper, bool by_relay) const;
+  std::unique_ptr<Child> launch_host(const std::string& name, const json& gatekeepers,
+                                     const json& deploy) const;
+  std::string config_named(std::size_t i, const std::string& name, const std::string& listen) const;
 
   ConfigPlan plan_;
   Spread spread_;
@@ -216,6 +225,8 @@
   std::vector<Distributor> distributors_;
   std::vector<Host> hosts_;
   std::vector<Real> real_;
+  Host bare_;
+  std::vector<std::unique_ptr<test::Program>> bare_real_;
   std::unique_ptr<StreamRelay> relay_;
   mutable std::mutex mutex_;  // over what the programs told
   std::map<std::pair<std::string, std::uint64_t>, std::string> digests_;
