--- a/lab/config_rig.cpp
+++ b/lab/config_rig.cpp
@@ -248,18 +248,14 @@
 
 void ConfigRig::start_distributor(std::size_t i) {
   Distributor& d = distributors_.at(i);
-  json peers = json::array();
-  for (std::size_t p = 0; p < distributors_.size(); ++p) {
-    if (p != i) peers.push_back(bench::at(distributors_[p].port));
-  }
-  const std::string file = d.dir + ".json";
-  std::ofstream(file) << json{{"name", "d" + std::to_string(i)},
-                              {"listen", bench::at(d.port)},
-                              {"peers", peers},
-                              {"key_file", key_file_},
-                              {"directory", d.dir}};
+  std::string peers;
+  for (const Distributor& one : distributors_) peers += (peers.empty() ? "" : ",") + bench::at(one.port);
   d.child.reset();
-  d.child = std::make_unique<Child>(std::vector<std::string>{plan_.distributor, file}, d.dir + ".log");
+  d.child = std::make_unique<Child>(
+      std::vector<std::string>{plan_.distributor, "--listen", bench::at(d.port), "--peer", peers, "--key-file",
+                               key_file_, "--dir", d.dir, "--name", "d" + std::to_string(i), "--connections",
+                               "4096"},
+      d.dir + ".log");
 }
 void ConfigRig::kill_distributor(std::size_t i) { distributors_.at(i).child.reset(); }
 std::string ConfigRig::distributor_log(std::size_t i) const {
