--- a/tests/lab.h
+++ b/tests/lab.h
@@ -87,6 +87,7 @@
           sent[e->conn] += e->otherwise;
         }
       }
+      if (const auto* e = std::get_if<net::Log>(&effect)) log += e->text + "\n";
       if (const auto* e = std::get_if<net::Bind>(&effect)) binds.push_back(*e);
       if (std::holds_alternative<net::Unbind>(effect)) ++unbinds;
       if (const auto* e = std::get_if<net::SendDatagram>(&effect)) datagrams.push_back(*e);
@@ -198,6 +199,7 @@
   std::vector<net::Listen> listens;
   std::vector<Concern> stopped_listening;
   std::optional<int> exit_status;
+  std::string log;              // its lines
   std::function<void()> watch;  // called after each event
 
  private:
