--- a/lab/config_rig.cpp
+++ b/lab/config_rig.cpp
@@ -252,9 +252,9 @@
   for (const Distributor& one : distributors_) peers += (peers.empty() ? "" : ",") + bench::at(one.port);
   d.child.reset();
   d.child = std::make_unique<Child>(
-      std::vector<std::string>{plan_.distributor, "--listen", bench::at(d.port), "--peer", peers, "--key-file",
-                               key_file_, "--dir", d.dir, "--name", "d" + std::to_string(i), "--connections",
-                               "4096"},
+      std::vector<std::string>{plan_.distributor, "--listen", bench::at(d.port), "--peer", peers,
+                               "--key-file", key_file_, "--dir", d.dir, "--name", "d" + std::to_string(i),
+                               "--connections", "4096"},
       d.dir + ".log");
 }
 void ConfigRig::kill_distributor(std::size_t i) { distributors_.at(i).child.reset(); }
