--- a/lab/config_rig.h
+++ b/lab/config_rig.h
@@ -12,6 +12,7 @@
 #include <mutex>
 #include <nlohmann/json.hpp>
 #include <optional>
+#include <random>
 #include <set>
 #include <string>
 #include <thread>
