--- a/bench/scale_bench.cpp
+++ b/bench/scale_bench.cpp
@@ -206,6 +206,12 @@
     if (!up || !votes) {
       const auto t = rig_.totals();
       std::fprintf(stderr, "%zu of %zu are up, %zu ready\n", t.up, rig_.plan().light, t.ready);
+      for (std::size_t i = 0; i < rig_.plan().real; ++i) {
+        if (rig_.real_ready(i)) continue;
+        const std::string log = rig_.real(i).log();
+        std::fprintf(stderr, "g%zu: %s\n", i,
+                     log.substr(log.size() - std::min<std::size_t>(log.size(), 2000)).c_str());
+      }
       return false;
     }
     small_ = "s" + std::to_string(std::max<std::size_t>(1, rig_.spread().services() / 100) + 1);
