--- a/bench/scale_bench.cpp
+++ b/bench/scale_bench.cpp
@@ -2,7 +2,7 @@
 // that serve calls, at sizes up to the largest that the machine bears. Each fault of the design is put in,
 // and the record of who had which version in force when is judged.
 //
-// Usage: graniterun_scale_bench GATEKEEPER DISTRIBUTOR HOLLOW [LARGEST | short]
+// Usage: graniterun_scale_bench GATEKEEPER DISTRIBUTOR HOLLOW [LARGEST [only] | short]
 // A line a figure, `name_at_N value unit`, N gatekeepers; SHORT where an aim is missed, and then exit code 1.
 // `short`: one small size, judged by the order of the record and by the faults that took hold; never by time.
 #include <sys/resource.h>
@@ -260,10 +260,10 @@
   void quiet() {
     const auto& plan = rig_.plan();
     rig_.ask_real_ones(false);
-    std::thread servers([&] { calls(12s, nothing_, 0.001); });
+    std::thread servers([&] { calls(15s, nothing_, 0.001); });
     std::this_thread::sleep_for(2s);
     const Usage a = usage();
-    std::this_thread::sleep_for(5s);
+    std::this_thread::sleep_for(10s);  // two beats of each distributor
     const Usage b = usage();
     const int changes = 3;
     for (int i = 0; i < changes; ++i) {
@@ -798,6 +798,9 @@
   }
   std::signal(SIGPIPE, SIG_IGN);
   const std::string last = argc > 4 ? argv[4] : "";
+  const bool only = argc > 5 && std::string(argv[5]) == "only";  // the largest size, and no smaller one
+  // A run ends by itself, whatever hangs; with it end all programs that it started.
+  ::alarm(last == "short" ? 110 : 900);
   if (last == "short") {
     timed = false;
     ConfigPlan plan = plan_of(argv, 42);
@@ -814,7 +817,7 @@
   const std::size_t largest = last.empty() ? 3000 : static_cast<std::size_t>(std::atol(last.c_str()));
   std::vector<std::size_t> sizes;
   for (const std::size_t n : {100UL, 300UL, 1000UL, 3000UL}) {
-    if (n < largest) sizes.push_back(n);
+    if (n < largest && !only) sizes.push_back(n);
   }
   sizes.push_back(largest);
   for (const std::size_t n : sizes) good = Scale(plan_of(argv, n), false).run() && good;
