--- a/tests/config_distributor_test.cpp
+++ b/tests/config_distributor_test.cpp
@@ -141,7 +141,7 @@
     Link& l = links_[link];
     if (!std::exchange(l.open, false)) return;
     for (int side : {0, 1}) {
-      if (!l.ends[side]->running || l.ends[side]->links.erase(l.ids[side]) == 0) continue;
+      if (!l.ends[side]->running || !l.ends[side]->links.contains(l.ids[side])) continue;
       queue_.push_back({l.ends[side], net::Closed{l.ids[side], reset}, {}});
     }
   }
@@ -160,11 +160,13 @@
     if (due.link) {
       Link& l = links_[*due.link];
       const ConnId conn = std::get<net::Received>(due.event).conn;
-      if (!l.open || !p.reads) return;
+      if (!p.links.contains(conn) || !p.reads) return;
       bytes = l.unread[side_of(*due.link, p, conn)];
       if (bytes.empty()) return;
       due.event = net::Received{conn, bytes};
     }
+    // What was sent before the other side's end has been read by then.
+    if (const auto* closed = std::get_if<net::Closed>(&due.event)) p.links.erase(closed->conn);
     net::Effects effects;
     p.step(now, due.event, effects);
     for (const net::Effect& effect : effects) {
@@ -197,6 +199,7 @@
     const auto it = p.links.find(e.conn);
     if (it == p.links.end()) return;
     Link& l = links_[it->second];
+    if (!l.open) return;
     const int other = 1 - side_of(it->second, p, e.conn);
     l.unread[other] += e.bytes;
     queue_.push_back({l.ends[other], net::Received{l.ids[other], {}}, it->second});
@@ -620,6 +623,19 @@
   // Its connections stay, though it asks for nothing yet.
   CHECK_EQ(lab.d[2]->counters().of("distributor.peers_lost"), 0U);
   CHECK(!lab.voting(2) && !lab.files[2].empty());
+  // Nothing is published through it; the command goes on to the next one.
+  ConfigCtlSettings s = lab.publishing("trail", patch("2"));
+  s.to = {address_of(2)};
+  const Lab::Result alone = lab.ctl(s);
+  CHECK_EQ(alone.status, ConfigCtl::kNotAll);
+  check_has(alone.text, "not published: not voting yet");
+  s.to = {address_of(2), address_of(1), address_of(0)};
+  const Lab::Result next = lab.ctl(s);
+  CHECK_EQ(next.status, ConfigCtl::kDone);
+  check_has(next.text, "committed by d2");
+  check_has(next.text, "d3 " + address_of(2) + " has no vote: recovering");
+  CHECK(lab.net.run_until([&] { return lab.committed(2, "trail") == lab.committed(0, "trail"); }, 1s));
+  CHECK(!lab.voting(2));
   lab.kill(2);
   lab.start(2);
   CHECK(!lab.voting(2));
