--- a/src/control/subscription.cpp
+++ b/src/control/subscription.cpp
@@ -254,7 +254,7 @@
   if (e.what == Told::waited_out)
     text += " within " + std::to_string(ms_of(wait_)) + " ms: it serves on its start configuration";
   if (!e.reason.empty()) text += ": " + plain(e.reason);
-  line(now, told_[static_cast<std::size_t>(e.what)], *kind.level, std::move(text), out);
+  line(now, told_[e.what], *kind.level, std::move(text), out);
 }
 
 json Subscription::answer(const json& asked) const {
--- a/src/control/subscription.h
+++ b/src/control/subscription.h
@@ -8,7 +8,6 @@
 // one line in the log a second.
 #pragma once
 
-#include <array>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -61,7 +60,6 @@
     net::ConnId conn;
     bool up = false;
   };
-  static constexpr std::size_t kKinds = static_cast<std::size_t>(distribution::Told::waited_out) + 1;
   // One line of a kind a second at most.
   struct Seldom {
     Time next{};
@@ -87,7 +85,7 @@
   distribution::Subscriber subscriber_;
   std::map<std::uint32_t, Link> links_;  // by distributor
   std::uint32_t connections_ = 0;
-  std::array<Seldom, kKinds> told_{};
+  std::map<distribution::Told, Seldom> told_;
   Seldom malformed_{};
 };
 
