--- a/src/control/subscription.cpp
+++ b/src/control/subscription.cpp
@@ -234,11 +234,15 @@
 // ---- the log, the counters, the answers
 
 void Subscription::line(Time now, Seldom& kind, net::Level level, std::string text, Outbox& out) {
-  if (now < kind.next) {
+  if (kind.lines == 0 || now - kind.second >= 1s) {
+    kind.second = now;
+    kind.lines = 0;
+  }
+  if (kind.lines >= kLinesASecond) {
     ++kind.left_out;
     return;
   }
-  kind.next = now + 1s;
+  ++kind.lines;
   if (kind.left_out > 0)
     text += " (" + std::to_string(std::exchange(kind.left_out, 0)) + " more since the last line)";
   out.log(level, std::move(text));
--- a/src/control/subscription.h
+++ b/src/control/subscription.h
@@ -5,7 +5,7 @@
 //
 // Bounds: a line is at most kLineBound bytes, longer ones and such as are no line of a distributor close that
 // connection; kSources connections; a reason that goes into a line or the log kToldReason bytes; of each kind
-// one line in the log a second.
+// kLinesASecond in the log.
 #pragma once
 
 #include <cstdint>
@@ -22,6 +22,8 @@
 
 namespace graniterun::control {
 
+constexpr unsigned kLinesASecond = 4;
+
 class Subscription {
  public:
   // Takes the documents, all that are to be in force, whole or not at all. What is wrong with them; nothing:
@@ -60,9 +62,10 @@
     net::ConnId conn;
     bool up = false;
   };
-  // One line of a kind a second at most.
+  // The lines of one kind.
   struct Seldom {
-    Time next{};
+    Time second{};  // when the second began that `lines` are counted in
+    unsigned lines = 0;
     std::uint64_t left_out = 0;
   };
 
--- a/tests/configuration_test.cpp
+++ b/tests/configuration_test.cpp
@@ -754,6 +754,23 @@
   CHECK(lab.takes("other"));
 }
 
+void a_flood_of_changes_is_no_flood_of_lines() {
+  Served lab;
+  const auto lines = [&lab](const std::string& text) {
+    int found = 0;
+    for (std::size_t at = 0; (at = lab.log.find(text, at)) != std::string::npos; ++at) ++found;
+    return found;
+  };
+  CHECK_EQ(lines("a distributor is reached: 127.0.0.1:75"), 2);
+  for (Version v = 1; v <= 40; ++v) {
+    lab.publish(document("calls", v, classes_with({"c" + std::to_string(v)})));
+    lab.run(50ms);
+  }
+  CHECK_EQ(lab.value("config_distribution_in_force"), "40");
+  CHECK(lines("is in force") >= 8 && lines("is in force") <= 16);
+  CHECK(lab.log.find(" more since the last line)") != std::string::npos);
+}
+
 // ---- the class without a gatekeeper, as others may use it
 
 void it_stands_alone_and_beside_others() {
@@ -982,5 +999,6 @@
   half_a_line_is_waited_for_and_not_for_ever();
   beats_are_answered_and_a_stopped_source_is_left();
   cut_off_for_hours_it_serves_on();
+  a_flood_of_changes_is_no_flood_of_lines();
   it_stands_alone_and_beside_others();
 }
