--- a/src/control/subscription.cpp
+++ b/src/control/subscription.cpp
@@ -234,11 +234,15 @@
 // ---- the log, the counters, the answers
 
 void Subscription::line(Time now, Seldom& kind, net::Level level, std::string text, Outbox& out) {
-  if (now < kind.next) {
+  if (kind.lines == 0 || now - kind.second >= 1s) {
+    kind.second = now;
+    kind.lines = 0;
+  }
+  if (kind.lines >= kLinesASecond) {
     ++kind.left_out;
     return;
   }
-  kind.next = now + 1s;
+  ++kind.lines;
   if (kind.left_out > 0)
     text += " (" + std::to_string(std::exchange(kind.left_out, 0)) + " more since the last line)";
   out.log(level, std::move(text));
@@ -254,7 +258,7 @@
   if (e.what == Told::waited_out)
     text += " within " + std::to_string(ms_of(wait_)) + " ms: it serves on its start configuration";
   if (!e.reason.empty()) text += ": " + plain(e.reason);
-  line(now, told_[static_cast<std::size_t>(e.what)], *kind.level, std::move(text), out);
+  line(now, told_[e.what], *kind.level, std::move(text), out);
 }
 
 json Subscription::answer(const json& asked) const {
--- a/src/control/subscription.h
+++ b/src/control/subscription.h
@@ -5,10 +5,9 @@
 //
 // Bounds: a line is at most kLineBound bytes, longer ones and such as are no line of a distributor close that
 // connection; kSources connections; a reason that goes into a line or the log kToldReason bytes; of each kind
-// one line in the log a second.
+// kLinesASecond in the log.
 #pragma once
 
-#include <array>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -23,6 +22,8 @@
 
 namespace graniterun::control {
 
+constexpr unsigned kLinesASecond = 4;
+
 class Subscription {
  public:
   // Takes the documents, all that are to be in force, whole or not at all. What is wrong with them; nothing:
@@ -61,10 +62,10 @@
     net::ConnId conn;
     bool up = false;
   };
-  static constexpr std::size_t kKinds = static_cast<std::size_t>(distribution::Told::waited_out) + 1;
-  // One line of a kind a second at most.
+  // The lines of one kind.
   struct Seldom {
-    Time next{};
+    Time second{};  // when the second began that `lines` are counted in
+    unsigned lines = 0;
     std::uint64_t left_out = 0;
   };
 
@@ -87,7 +88,7 @@
   distribution::Subscriber subscriber_;
   std::map<std::uint32_t, Link> links_;  // by distributor
   std::uint32_t connections_ = 0;
-  std::array<Seldom, kKinds> told_{};
+  std::map<distribution::Told, Seldom> told_;
   Seldom malformed_{};
 };
 
