--- a/tests/runtime_test.cpp
+++ b/tests/runtime_test.cpp
@@ -3,7 +3,9 @@
 
 #include <sys/resource.h>
 
+#include <atomic>
 #include <optional>
+#include <thread>
 #include <vector>
 
 #include "net/ring.h"
@@ -434,10 +436,50 @@
   }
 }
 
+// Each in a thread of its own, with a loop of its own.
+void several_run_side_by_side() {
+  constexpr std::size_t kRuntimes = 8;
+  const int port = Socket::bound(SOCK_STREAM).port();
+  std::atomic<int> told{0};
+  std::vector<std::thread> threads;
+  for (std::size_t i = 0; i < kRuntimes; ++i) {
+    threads.emplace_back([&, i] {
+      const auto own = std::this_thread::get_id();
+      net::RuntimeLimits limits;
+      limits.signals = false;
+      net::Runtime runtime(limits, net::Logger(net::Level::error));
+      runtime.run([&, i](Time now, const net::Event& event, net::Effects& effects) {
+        CHECK(std::this_thread::get_id() == own);
+        if (std::holds_alternative<net::Started>(event)) {
+          const std::string address = "127.0.0.1:" + std::to_string(port);
+          if (i == 0) effects.push_back(net::Listen{net::Concern::platform, address});
+          effects.push_back(net::ArmTimer{{net::Concern::platform, 0}, now + std::chrono::milliseconds(50)});
+        } else if (std::holds_alternative<net::TimerFired>(event)) {
+          if (i == 0) return;
+          effects.push_back(net::Connect{
+              {net::Concern::server, 1}, "127.0.0.1:" + std::to_string(port), std::chrono::seconds(2)});
+        } else if (const auto* accepted = std::get_if<net::Accepted>(&event)) {
+          effects.push_back(net::Send{accepted->conn, "x"});
+          ++told;
+        } else if (const auto* failed = std::get_if<net::ConnectFailed>(&event)) {
+          CHECK(failed == nullptr);
+        } else if (std::holds_alternative<net::Received>(event)) {
+          effects.push_back(net::Exit{0});  // of one that connected
+        } else if (std::holds_alternative<net::Closed>(event)) {
+          if (told == kRuntimes - 1) effects.push_back(net::Exit{0});  // of the one that listened
+        }
+      });
+    });
+  }
+  for (std::thread& t : threads) t.join();
+  CHECK_EQ(told.load(), static_cast<int>(kRuntimes) - 1);
+}
+
 }  // namespace
 
 int main() {
   nothing_rests_on_a_file_that_is_not_written();
+  several_run_side_by_side();
   signals_before_the_loop_are_not_lost();
   a_callers_end_is_told_ahead_of_what_is_unread();
   a_callers_end_is_told_while_reading_is_held_back();
