Take back a trunk's INVITE that is not written when its caller leaves

Seen: over TCP an INVITE waits in Transport::Dialled::waiting for up to 2 s until its connection is made, or in the runtime's ring while the server reads nothing. Checked: SipTrunk::apply(AbandonAttempt) only stopped resending and Transport::connected wrote all that waited, so the attempt began for a caller long gone; Transport::send used no ticket, so the ring could not be asked either. Ruled out: UDP, whose datagrams are sent in the step itself and not sent again once given up (now tested for close, release and deadline). Change: INVITEs over TCP carry a ticket; one that waits is dropped, one in the ring is recalled, both end as not sent, with no guard and no CANCEL, and are not counted in 'tries'. The same where the server is told draining or gone meanwhile. What is written is called off after a provisional answer as before (RFC 3261 9.1).

--- a/src/app/gatekeeper.cpp
+++ b/src/app/gatekeeper.cpp
@@ -215,7 +215,8 @@
 
 std::string Gatekeeper::telemetry(Time now) const {
   management::Figures f{broker_.tallies()};
-  f.tries = all_counters().of(trunk_ ? "trunk.invites" : "net.counted_written");
+  f.tries = trunk_ ? counters_.of("trunk.invites") - counters_.of("trunk.invites_recalled")
+                   : all_counters().of("net.counted_written");
   f.active = broker_.unanswered() + broker_.standing();
   f.pool_size = trunk_ ? trunk_->listed() : servers_.listed();
   f.pool_ejected = broker_.avoided(now);
--- a/src/back/sip_trunk.cpp
+++ b/src/back/sip_trunk.cpp
@@ -73,6 +73,14 @@
   for (const auto& [id, host] : hosts_) {
     if (host.state == ServerState::terminated) end_calls(now, id, {}, out);
   }
+  // What is not written yet is not to reach a server that is to get nothing new.
+  if (!settings_.reliable) return;
+  for (auto it = legs_.begin(); it != legs_.end();) {
+    const auto leg = it++;
+    if (leg->second.state == State::calling && !leg->second.provisional &&
+        hosts_.at(leg->second.server).state != ServerState::in_service)
+      recall(now, leg, out);
+  }
 }
 
 std::size_t SipTrunk::listed() const {
@@ -135,11 +143,17 @@
       over(now, leg, ended_as(Outcome::cancelled), out);
       continue;
     }
-    by_transaction_.erase(leg.transaction);
-    legs_.erase(*call_id);
+    erase(legs_.find(*call_id));
   }
 }
 
+void SipTrunk::erase(Legs::iterator it) {
+  by_transaction_.erase(it->second.transaction);
+  recalls_.erase(it->second.ticket);
+  due_.clear(it->first);
+  legs_.erase(it);
+}
+
 // A leg that is given up or over has an end of its own.
 void SipTrunk::enter(Time now, Leg& leg, State state) {
   leg.state = state;
@@ -186,22 +200,50 @@
   if (!r.description.empty()) m.add("Content-Type", "application/sdp");
   m.body = r.description;
   counters_.add("trunk.invites");
-  leg.transaction = transactions_.send_request(now, leg.flow, m, out);
+  if (settings_.reliable) leg.ticket = ++last_ticket_;
+  leg.transaction = transactions_.send_request(now, leg.flow, m, out, leg.ticket);
   by_transaction_.insert_or_assign(leg.transaction, call_id);
 }
 
 void SipTrunk::apply(Time now, const core::AbandonAttempt& e, Outbox& out) {
-  Leg* leg = find(call_id_of(*e.request, e.attempt));
-  if (leg == nullptr || leg->state != State::calling) return;
-  enter(now, *leg, State::abandoned);
-  if (leg->provisional) {
-    cancel(now, *leg, out);
+  const auto it = legs_.find(call_id_of(*e.request, e.attempt));
+  if (it == legs_.end() || it->second.state != State::calling) return;
+  Leg& leg = it->second;
+  enter(now, leg, State::abandoned);
+  if (leg.provisional) {
+    cancel(now, leg, out);
+  } else if (leg.flow.reliable) {
+    recall(now, it, out);
   } else {
     // A repeat now could begin at the server what has been given up here.
-    transactions_.stop_resending(leg->invite);
+    transactions_.stop_resending(leg.invite);
   }
 }
 
+// An INVITE that waits for its connection, or for a server that reads nothing, is taken back: written later
+// it would begin an attempt for a caller long gone. Where it is too late the CANCEL waits for a provisional
+// answer.
+void SipTrunk::recall(Time now, Legs::iterator it, Outbox& out) {
+  Leg& leg = it->second;
+  if (transport_.recall(leg.flow, leg.ticket, out)) return never_sent(now, it, out);
+  recalls_.insert_or_assign(leg.ticket, it->first);
+}
+
+void SipTrunk::on(Time now, const net::Recalled& e, Outbox& out) {
+  const auto asked = recalls_.find(e.ticket);
+  if (asked == recalls_.end()) return;
+  const auto it = legs_.find(asked->second);
+  recalls_.erase(asked);
+  if (it != legs_.end()) never_sent(now, it, out);
+}
+
+void SipTrunk::never_sent(Time now, Legs::iterator it, Outbox& out) {
+  counters_.add("trunk.invites_recalled");
+  transactions_.forget(it->second.transaction);
+  over(now, it->second, ended_as(Outcome::not_sent), out);
+  erase(it);
+}
+
 void SipTrunk::apply(Time now, const core::ReleaseServer& e, Outbox& out) {
   Leg* leg = find(call_id_of(*e.request, e.attempt));
   if (leg == nullptr || leg->state != State::stands) return;
--- a/src/back/sip_trunk.h
+++ b/src/back/sip_trunk.h
@@ -34,6 +34,7 @@
   void on(Time now, const net::ConnectFailed& e, Outbox& out);
   void on(Time now, const net::Received& e, Outbox& out);
   void on(Time now, const net::Closed& e, Outbox& out);
+  void on(Time now, const net::Recalled& e, Outbox& out);
   void on(Time now, const net::Datagram& e, Outbox& out);
   void on(Time now, const net::TimerFired& e, Outbox& out);
 
@@ -58,8 +59,9 @@
     sip::Flow flow{};
     bool provisional = false;  // a CANCEL may be sent only after one (§9.1)
     bool cancelled = false;
-    bool told = false;   // the broker knows that the attempt is over
-    bool stood = false;  // at the server, whether in time or not
+    std::uint64_t ticket{};  // of the INVITE over TCP, which may be recalled
+    bool told = false;       // the broker knows that the attempt is over
+    bool stood = false;      // at the server, whether in time or not
     // The dialog (§12).
     std::string remote{};  // To, with the server's tag
     std::string target{};
@@ -73,6 +75,9 @@
   void requested(Time now, const sip::Flow& flow, const sip::Message& m, Outbox& out);
   void over(Time now, Leg& leg, core::AttemptOver ended, Outbox& out);
   void cancel(Time now, Leg& leg, Outbox& out);
+  void recall(Time now, Legs::iterator it, Outbox& out);
+  void never_sent(Time now, Legs::iterator it, Outbox& out);
+  void erase(Legs::iterator it);
   sip::Message in_dialog(Leg& leg, const std::string& method, std::uint32_t cseq);
   void enter(Time now, Leg& leg, State state);
   void bye(Time now, Leg& leg, int cause, Outbox& out);
@@ -91,6 +96,8 @@
   std::map<ServerId, Host> hosts_;
   Legs legs_;
   std::unordered_map<std::string, std::string> by_transaction_;  // an INVITE's transaction to its Call-ID
+  std::unordered_map<std::uint64_t, std::string> recalls_;       // asked for: the ticket to its Call-ID
+  std::uint64_t last_ticket_ = 0;
   Due<std::string> due_;  // legs given up long enough, or remembered long enough
   Words words_;
 };
--- a/src/sip/transactions.cpp
+++ b/src/sip/transactions.cpp
@@ -258,7 +258,8 @@
 
 // ---- client side
 
-std::string Transactions::send_request(Time now, const Flow& flow, const Message& request, Outbox& out) {
+std::string Transactions::send_request(Time now, const Flow& flow, const Message& request, Outbox& out,
+                                       std::uint64_t ticket) {
   const std::string key = client_key(request);
   Client c;
   c.flow = flow;
@@ -267,7 +268,7 @@
   c.request = request;
   c.sent = request.text();
   c.gap = kT1;
-  transport_.send(flow, c.sent, out);
+  transport_.send(flow, c.sent, out, ticket);
   if (!flow.reliable) arm(now, false, key, c, Kind::resend, c.gap, out);  // timers A and E
   arm(now, false, key, c, Kind::lapse, k64T1, out);                       // timers B and F
   clients_.insert_or_assign(key, std::move(c));
--- a/src/sip/transactions.h
+++ b/src/sip/transactions.h
@@ -46,12 +46,16 @@
 
   // ---- client side
   // Sends the request, whose top Via has a branch of its own; returns the transaction's key.
-  std::string send_request(Time now, const Flow& flow, const Message& request, Outbox& out);
+  // `ticket`: as in Transport::send.
+  std::string send_request(Time now, const Flow& flow, const Message& request, Outbox& out,
+                           std::uint64_t ticket = 0);
   // An answer came in: the key of its transaction where the user is to see it; empty where it was absorbed.
   std::string take_answer(Time now, const Message& answer, Outbox& out);
 
   // Sends a request no more; its transaction still takes what comes.
   void stop_resending(const Message& request);
+  // Ends a client transaction whose request was taken back before it was written.
+  void forget(const std::string& key) { clients_.erase(key); }
 
   std::vector<Lapse> fired(Time now, std::uint64_t timer, Outbox& out);
   std::size_t size() const { return servers_.size() + clients_.size(); }
--- a/src/sip/transport.cpp
+++ b/src/sip/transport.cpp
@@ -27,7 +27,8 @@
   for (auto& [peer, dialled] : dialled_) {
     if (dialled.conn != conn) continue;
     dialled.up = true;
-    for (std::string& text : std::exchange(dialled.waiting, {})) out.send({concern_, conn}, std::move(text));
+    for (Dialled::Message& m : std::exchange(dialled.waiting, {}))
+      out.send_counted({concern_, conn}, std::move(m.text), m.ticket);
   }
 }
 
@@ -84,7 +85,7 @@
   return {{false, 0, std::string(e.peer)}, read_datagram(e.bytes)};
 }
 
-void Transport::send(const Flow& flow, std::string text, Outbox& out) {
+void Transport::send(const Flow& flow, std::string text, Outbox& out, std::uint64_t ticket) {
   counters_.add("sip.messages_out");
   if (!flow.reliable) {
     out.net.push_back(net::SendDatagram{concern_, flow.peer, std::move(text)});
@@ -101,8 +102,18 @@
     dialled.conn = kDialled | ++last_dialled_;
     out.net.push_back(net::Connect{{concern_, dialled.conn}, flow.peer, kConnectWithin});
   }
-  if (dialled.up) return out.send({concern_, dialled.conn}, std::move(text));
-  if (dialled.waiting.size() < kMostWaiting) dialled.waiting.push_back(std::move(text));
+  if (dialled.up) return out.send_counted({concern_, dialled.conn}, std::move(text), ticket);
+  if (dialled.waiting.size() < kMostWaiting) dialled.waiting.push_back({std::move(text), ticket});
+}
+
+bool Transport::recall(const Flow& flow, std::uint64_t ticket, Outbox& out) {
+  const auto it = dialled_.find(flow.peer);
+  if (it == dialled_.end()) return false;
+  Dialled& dialled = it->second;
+  if (!dialled.up)
+    return std::erase_if(dialled.waiting, [ticket](const auto& m) { return m.ticket == ticket; }) > 0;
+  out.recall({concern_, dialled.conn}, ticket, {});
+  return false;
 }
 
 }  // namespace graniterun::sip
--- a/src/sip/transport.h
+++ b/src/sip/transport.h
@@ -38,7 +38,11 @@
   std::vector<Incoming> received(const net::Received& e, Outbox& out);
   Incoming datagram(const net::Datagram& e) const;
 
-  void send(const Flow& flow, std::string text, Outbox& out);
+  // `ticket`: not 0 for a message over TCP that may be recalled while none of it is written.
+  void send(const Flow& flow, std::string text, Outbox& out, std::uint64_t ticket = 0);
+  // Takes back the message to that peer, over a connection made from here. True: it still waited for the
+  // connection and is gone. False: the runtime looks, and tells Recalled where it was in time.
+  bool recall(const Flow& flow, std::uint64_t ticket, Outbox& out);
   void close(std::uint32_t conn, Outbox& out);
   // A message has begun on the connection and is not whole.
   bool half(std::uint32_t conn) const { return half_.contains(conn); }
@@ -48,7 +52,11 @@
   struct Dialled {
     std::uint32_t conn{};
     bool up{};
-    std::vector<std::string> waiting{};  // messages
+    struct Message {
+      std::string text;
+      std::uint64_t ticket{};
+    };
+    std::vector<Message> waiting{};  // for the connection
   };
   net::Concern concern_;
   Counters& counters_;
--- a/tests/trunk_test.cpp
+++ b/tests/trunk_test.cpp
@@ -17,13 +17,25 @@
 }
 
 struct TrunkLab : Lab {
-  explicit TrunkLab(const std::string& transport = "udp") : Lab(config_for_tests(), deploy(transport)) {
+  explicit TrunkLab(const std::string& transport = "udp", const PlatformConfig& config = config_for_tests())
+      : Lab(config, deploy(transport)) {
     tell(net::Accepted{kCaller});
   }
-  void call(int left = 3000) {
-    receive(kCaller, R"({"type":"setup","id":"00000000000000aa","fields":{"class":"voice","left":")" +
+  void call(int left = 3000, const std::string& id = "00000000000000aa") {
+    receive(kCaller, R"({"type":"setup","id":")" + id + R"(","fields":{"class":"voice","left":")" +
                          std::to_string(left) + R"(","key":"4711","extras":"dest:0"},"sdp":"offer"})" + "\n");
   }
+  // Its first call is over for the caller's part.
+  void leave(const std::string& how) {
+    if (how == "close") {
+      tell(net::PeerClosed{kCaller});
+    } else if (how == "release") {
+      receive(kCaller, R"({"type":"release","id":"00000000000000aa","fields":{},"cause":16})"
+                       "\n");
+    } else {
+      pass(301ms);  // its deadline
+    }
+  }
   std::vector<std::pair<std::string, sip::Message>> to_servers() {
     std::vector<std::pair<std::string, sip::Message>> all;
     for (const net::SendDatagram& d : std::exchange(datagrams, {})) {
@@ -210,9 +222,129 @@
   CHECK(lab.connects.empty() && lab.lines(kCaller).empty());
 }
 
+const std::vector<std::string> kWays{"close", "release", "deadline"};
+
+// Guards: no attempt begins for who has left. The connection is made for up to 2 s, and the INVITE was
+// written when it came up, whoever had left meanwhile. Others' INVITEs that wait there go out.
+void an_invite_that_waits_for_its_connection_is_taken_back() {
+  for (const std::string& how : kWays) {
+    for (const bool another : {false, true}) {
+      TrunkLab lab("tcp");
+      const ConnId other{Concern::platform, 2};
+      lab.call(300);
+      CHECK_EQ(lab.connects.size(), 1U);
+      const ConnId up = lab.connects[0].conn;
+      if (another) {
+        lab.tell(net::Accepted{other});
+        lab.receive(other, set_up_line("00000000000000bb"));
+        CHECK_EQ(lab.connects.size(), 1U);
+      }
+      lab.pass(50ms);
+      lab.leave(how);
+      CHECK_EQ(lab.figure("tries"), another ? "1|c" : "0|c");
+      lab.tell(net::Connected{up});
+      const auto sent = lab.messages(up);
+      CHECK_EQ(sent.size(), another ? 1U : 0U);
+      if (another) CHECK(sent[0].header("Call-ID").starts_with("00000000000000bb"));
+      lab.pass(40s);  // and nothing follows when its time would be over
+      for (const sip::Message& m : lab.messages(up))
+        CHECK(!m.header("Call-ID").starts_with("00000000000000aa"));
+    }
+  }
+}
+
+// Guards the same where the connection is up and the server reads nothing: the INVITE is in the ring. It is
+// not counted as a try, and no CANCEL follows what was never there.
+void an_invite_not_written_yet_is_taken_back() {
+  for (const std::string& how : kWays) {
+    TrunkLab lab("tcp");
+    lab.call(300);
+    const ConnId up = lab.connects.at(0).conn;
+    lab.unwritten.insert(up);
+    lab.tell(net::Connected{up});
+    const sip::Message invite = lab.messages(up).at(0);
+    CHECK_EQ(lab.figure("tries"), "1|c");
+    lab.leave(how);
+    CHECK_EQ(lab.figure("tries"), "0|c");
+    CHECK(lab.messages(up).empty());
+    lab.receive(up, answer(invite, 100));  // of nothing that is known here
+    CHECK(lab.messages(up).empty());
+    // The call's id is free again at once: nothing ran, so there is no guard.
+    if (how != "release") continue;
+    lab.call(3000);
+    CHECK_EQ(lab.messages(up).at(0).method, "INVITE");
+  }
+}
+
+// Guards the rule on draining servers: what is not written when its server is told draining goes elsewhere.
+void an_invite_to_a_server_that_drains_is_taken_back() {
+  for (const bool connected : {false, true}) {
+    PlatformConfig config = config_for_tests();
+    config.journal = "127.0.0.1:8500";
+    TrunkLab lab("tcp", config);
+    const ConnId journal = lab.connects.back().conn;
+    lab.tell(net::Connected{journal});
+    lab.connects.clear();
+    lab.call();
+    CHECK_EQ(lab.connects.size(), 1U);
+    CHECK_EQ(lab.connects[0].address, kServers[0]);
+    const ConnId up = lab.connects[0].conn;
+    if (connected) {
+      lab.unwritten.insert(up);
+      lab.tell(net::Connected{up});
+      CHECK_EQ(lab.messages(up).size(), 1U);
+    }
+    lab.receive(
+        journal,
+        "HTTP/1.1 200 OK\r\n\r\nid: 9\ndata: "
+        R"({"hosts":{"targets":[{"uid":"s0","endpoint":"127.0.0.1:9000","pod_group":0,"state":"draining"}]}})"
+        "\n\n");
+    CHECK_EQ(lab.connects.size(), 2U);
+    CHECK_EQ(lab.connects[1].address, kServers[1]);
+    if (!connected) lab.tell(net::Connected{up});
+    CHECK(lab.messages(up).empty());
+    lab.tell(net::Connected{lab.connects[1].conn});
+    CHECK_EQ(lab.messages(lab.connects[1].conn).at(0).method, "INVITE");
+  }
+}
+
+// Guards RFC 3261 9.1 for what is written, over both transports: not sent again, and called off once and only
+// after a provisional answer.
+void a_written_invite_is_called_off_after_a_provisional_answer() {
+  for (const std::string& how : kWays) {
+    TrunkLab udp;
+    udp.call(300);
+    const sip::Message invite = udp.one();
+    udp.leave(how);
+    udp.pass(5s);
+    CHECK(udp.to_servers().empty());
+    udp.from(kServers[0], answer(invite, 180));
+    CHECK_EQ(udp.one().method, "CANCEL");
+    udp.from(kServers[0], answer(invite, 180));
+    CHECK(udp.to_servers().empty());
+
+    TrunkLab tcp("tcp");
+    tcp.call(300);
+    const ConnId up = tcp.connects.at(0).conn;
+    tcp.tell(net::Connected{up});
+    const sip::Message written = tcp.messages(up).at(0);
+    tcp.leave(how);
+    CHECK(tcp.messages(up).empty());
+    tcp.receive(up, answer(written, 180));
+    CHECK_EQ(tcp.messages(up).at(0).method, "CANCEL");
+    tcp.receive(up, answer(written, 180));
+    CHECK(tcp.messages(up).empty());
+    CHECK_EQ(tcp.figure("tries"), "1|c");
+  }
+}
+
 }  // namespace
 
 int main() {
+  an_invite_that_waits_for_its_connection_is_taken_back();
+  an_invite_not_written_yet_is_taken_back();
+  an_invite_to_a_server_that_drains_is_taken_back();
+  a_written_invite_is_called_off_after_a_provisional_answer();
   a_bye_ahead_of_the_answer_ends_the_call();
   a_bye_of_an_attempt_that_was_lost_ends_the_call();
   a_call_stands_and_the_caller_ends_it();
