--- a/Makefile
+++ b/Makefile
@@ -3,8 +3,8 @@
 TESTS ?= build-tests
 SANITIZE = -Wall -Wextra -Werror -Wno-maybe-uninitialized -fsanitize=address,undefined -fno-sanitize-recover=all
 
-.PHONY: build test test-build lint run bench bench-load bench-gap bench-ops bench-fleet bench-fleet-sim \
-  bench-cold soak-fleet
+.PHONY: build test test-build lint run bench bench-load bench-gap bench-ops bench-close bench-fleet \
+  bench-fleet-sim bench-cold soak-fleet
 
 build:
 	cmake -B $(BUILD) -DCMAKE_BUILD_TYPE=Release
@@ -36,6 +36,10 @@
 bench-ops: bench
 	build-bench/graniterun_ops_bench build-bench/graniterun
 
+# From a caller's close to the CANCEL at the server: a figure counts only from a quiet machine.
+bench-close: bench
+	build-bench/graniterun_close_bench build-bench/graniterun
+
 bench-gap: bench
 	build-bench/graniterun_limits_model 1000000
 	build-bench/graniterun_gap_bench build-bench/graniterun build-bench/graniterun_announcer build-bench/graniterunctl
