Measure the time that gatekeepers add, and what a long list of servers costs

The capacity page lacks both: what is added to a call, paired with the same load straight to the stand-in, in lines of 1, 3 and 9; and the cost by servers listed, where nobody knew whether the stand-in's own loop was part of it. The stand-ins here go by epoll and have no ticks. Trials on a busy machine only so far.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 SANITIZE = -Wall -Wextra -Werror -Wno-maybe-uninitialized -fsanitize=address,undefined -fno-sanitize-recover=all
 
 .PHONY: build test test-build lint run bench bench-load bench-gap bench-ops bench-fleet bench-fleet-sim \
-  bench-cold soak-fleet
+  bench-cold bench-added bench-listed soak-fleet
 
 build:
 	cmake -B $(BUILD) -DCMAKE_BUILD_TYPE=Release
@@ -36,6 +36,13 @@
 bench-ops: bench
 	build-bench/graniterun_ops_bench build-bench/graniterun
 
+# The time that a gatekeeper adds, paired, and lines of 3 and 9; what a long list of servers costs. 100 s each.
+bench-added: bench
+	timeout 120 build-bench/graniterun_added_bench build-bench/graniterun $(if $(QUICK),--quick)
+
+bench-listed: bench
+	timeout 120 build-bench/graniterun_listed_bench build-bench/graniterun $(if $(QUICK),--quick)
+
 bench-gap: bench
 	build-bench/graniterun_limits_model 1000000
 	build-bench/graniterun_gap_bench build-bench/graniterun build-bench/graniterun_announcer build-bench/graniterunctl
