Look only at servers and connections where something is due

Each tick of 50 ms looked after every server and went over all connections twice, each answer and each NOTIFY over all connections, each list over all servers for every server in service. Now a tick looks at servers with calls or without a connection, and each server knows its own connections. The counter servers.looked_at tells how many were looked at; a test holds it at 0 for 300 idle servers over 200 ticks.

--- a/src/back/setup_servers.cpp
+++ b/src/back/setup_servers.cpp
@@ -163,6 +163,9 @@
   if (kind != ListKind::changes) {
     for (auto& [id, server] : servers_) server.host.state = ServerState::terminated;
   }
+  std::unordered_map<std::string, std::vector<ServerId>>
+      by_address;  // those that have or had it in this list
+  for (const auto& [id, server] : servers_) by_address[server.host.address].push_back(id);
   for (const Host& host : list.hosts) {
     const ServerId id = directory_.id_of(host.uid);
     const auto [place, fresh] = servers_.try_emplace(id);
@@ -174,12 +177,14 @@
     server.host = host;
     server.host.address = address;
     if (restarted) end_calls(server, host.started, out);
-    if (moved) server.current.reset();
+    if (moved) set_aside(server);
+    if (fresh || moved) by_address[address].push_back(id);
     if (host.state == ServerState::in_service) {
       // A new server may have the address of one that is gone: that one's connections must not be taken for
       // it.
-      for (auto& [id, other] : servers_) {
-        if (id != server.id && other.host.address == address) other.current.reset();
+      for (const ServerId same : by_address[address]) {
+        Server& other = servers_.at(same);
+        if (same != id && other.host.address == address) set_aside(other);
       }
     }
     told.entries.push_back(directory_.entry_of(id, host));
@@ -189,13 +194,21 @@
     if (server.host.state != ServerState::in_service) recall_invites(server, out);
     if (server.host.state == ServerState::terminated) {
       end_calls(server, {}, out);
-      server.current.reset();
+      set_aside(server);
     } else {
+      to_look_after_.insert(id);
       look_after(now, server, out);
     }
   }
 }
 
+// Nothing new goes by its connection in use, which is kept for what comes on it.
+void SetupServers::set_aside(Server& server) {
+  if (server.current) aside_.insert(*server.current);
+  server.current.reset();
+  to_look_after_.insert(server.id);
+}
+
 // What is handed over and not written yet is not to reach a server that is to get nothing new.
 void SetupServers::recall_invites(const Server& server, Outbox& out) {
   for (const auto& [since, key] : server.unanswered) {
@@ -235,6 +248,7 @@
 void SetupServers::connect(Time now, Server& server, Outbox& out, bool for_news) {
   const std::uint32_t number = ++last_connection_;
   server.connecting = number;
+  server.connections.insert(number);
   server.next_connect = now + kReconnectPause;
   connections_[number] = {server.id, false, now, {}, {}, {}, for_news};
   counters_.add("servers.connects");
@@ -254,7 +268,12 @@
   server->tried = true;
   server->connecting.reset();
   look_whether_ready(now);
-  if (!it->second.for_news || !server->current) server->current = e.conn.number;
+  if (!it->second.for_news || !server->current) {
+    if (server->current) aside_.insert(*server->current);
+    server->current = e.conn.number;
+  } else {
+    aside_.insert(e.conn.number);
+  }
   server->unreachable_since.reset();
   server->lost_at.reset();
   server->heard = now;
@@ -270,6 +289,8 @@
   Server* server = find(it->second.server);
   connections_.erase(it);
   if (server == nullptr) return;
+  server->connections.erase(e.conn.number);
+  to_look_after_.insert(server->id);
   server->tried = true;
   look_whether_ready(now);
   server->connecting.reset();
@@ -303,8 +324,8 @@
   let_go(now, e.conn.number, true, out);
   if (server == nullptr) return;
   if (!server->current) {
-    const bool any = std::any_of(connections_.begin(), connections_.end(),
-                                 [&](const auto& c) { return c.second.server == server->id && c.second.up; });
+    const bool any = std::any_of(server->connections.begin(), server->connections.end(),
+                                 [&](std::uint32_t number) { return connections_.at(number).up; });
     if (!any && !server->lost_at) server->lost_at = now;
   }
   look_after(now, *server, out);
@@ -319,6 +340,8 @@
   if (Server* server = find(it->second.server)) {
     if (server->current == conn) server->current.reset();
     if (server->connecting == conn) server->connecting.reset();
+    server->connections.erase(conn);
+    to_look_after_.insert(server->id);
   }
   const std::set<LegKey> unanswered = std::move(it->second.unanswered);
   connections_.erase(it);
@@ -359,7 +382,7 @@
   // another one in use already none was opened, and the caller was never told.
   if (!awaited || !server->current || server->connecting) return;
   // None is let go here to make room: a message that came on it may just be at work.
-  if (connections_to(server->id, true) < kMostForNews) connect(now, *server, out, true);
+  if (connections_to(*server, true) < kMostForNews) connect(now, *server, out, true);
 }
 
 // Keeps a server in reach, and finds out that it has vanished or died.
@@ -370,7 +393,7 @@
   const bool silent = has_calls && (now - server.heard > kSuspicious || owing);
   const bool wanted = server.host.state == ServerState::in_service || has_calls;
   if (wanted && !server.connecting && now >= server.next_connect &&
-      (!server.current || (silent && connections_to(server.id, false) < kMostConnections))) {
+      (!server.current || (silent && connections_to(server, false) < kMostConnections))) {
     connect(now, server, out);
     // One that is alive and has nothing to say is not asked all the time. One that owes may fall silent on
     // the new connection too: asked again no sooner than that, it once had releases to tell for longer than
@@ -414,10 +437,10 @@
   return oldest;
 }
 
-std::size_t SetupServers::connections_to(ServerId server, bool for_news) const {
-  return static_cast<std::size_t>(std::count_if(connections_.begin(), connections_.end(), [&](const auto& c) {
-    return c.second.server == server && c.second.for_news == for_news;
-  }));
+std::size_t SetupServers::connections_to(const Server& server, bool for_news) const {
+  return static_cast<std::size_t>(
+      std::count_if(server.connections.begin(), server.connections.end(),
+                    [&](std::uint32_t number) { return connections_.at(number).for_news == for_news; }));
 }
 
 // A set-up that was given up before any of it was written has never been there.
@@ -439,7 +462,9 @@
 void SetupServers::on(Time now, const net::TimerFired&, Outbox& out) {
   out.arm(net::Concern::server, 0, now + kTick);
   look_whether_ready(now);
-  for (auto& [id, server] : servers_) look_after(now, server, out);
+  look_after_all(now, out);
+  looked_at_ += half_read_.size() + aside_.size();
+  counters_.add("servers.looked_at", std::exchange(looked_at_, 0));
   while (const auto key = due_.take(now)) {
     const auto it = legs_.find(*key);
     if (it->second.state != LegState::abandoned) {
@@ -452,9 +477,12 @@
     enter(now, it->second, LegState::over);
   }
   std::vector<std::uint32_t> stuck;
-  for (const auto& [number, c] : connections_) {
-    if (c.half_since && now - *c.half_since > kWholeWithin) stuck.push_back(number);
-  }
+  std::erase_if(half_read_, [&](std::uint32_t number) {
+    const auto it = connections_.find(number);
+    const bool half = it != connections_.end() && it->second.half_since;
+    if (half && now - *it->second.half_since > kWholeWithin) stuck.push_back(number);
+    return !half;
+  });
   for (const std::uint32_t number : stuck) {
     counters_.add("servers.messages_cut_short");
     spoilt(now, number, out);
@@ -464,9 +492,15 @@
   // there: with no connection opened for them their releases were lost, whether it had fallen silent or not.
   std::vector<std::uint32_t> idle;
   std::vector<std::uint32_t> missed;
-  for (const auto& [number, c] : connections_) {
-    Server* server = find(c.server);
-    if (!c.up || !c.unanswered.empty() || (server != nullptr && server->current == number)) continue;
+  for (const std::uint32_t number : std::set<std::uint32_t>(aside_)) {
+    const auto it = connections_.find(number);
+    if (it == connections_.end()) {
+      aside_.erase(number);
+      continue;
+    }
+    const Connection& c = it->second;
+    const Server* server = find(c.server);
+    if (!c.unanswered.empty()) continue;
     const bool told_here = server != nullptr && may_be_told_on(*server, number);
     if (c.for_news && now - c.heard < (told_here ? kNewsSilent : kNewsWithin)) continue;
     (told_here ? missed : idle).push_back(number);
@@ -475,6 +509,18 @@
   for (const std::uint32_t number : missed) spoilt(now, number, out);
 }
 
+// Every server that may need it, and those that don't are not looked at again until something changes there:
+// with all of a long list looked at in each tick, most of what an idle gatekeeper did was that.
+void SetupServers::look_after_all(Time now, Outbox& out) {
+  looked_at_ += to_look_after_.size();
+  for (const ServerId id : std::vector<ServerId>(to_look_after_.begin(), to_look_after_.end())) {
+    Server& server = servers_.at(id);
+    look_after(now, server, out);
+    if (server.host.state == ServerState::terminated || (server.current && server.legs.empty()))
+      to_look_after_.erase(id);
+  }
+}
+
 // Standing calls that a server can have no more: all of them, or those that stood before it started anew.
 void SetupServers::end_calls(Server& server, std::optional<Time> stood_before, Outbox& out) {
   for (const LegKey& key : std::set<LegKey>(server.legs)) {
@@ -542,6 +588,7 @@
   if (!fresh) return;
   by_label_.emplace(e.request->label, key);
   server->legs.insert(key);
+  to_look_after_.insert(server->id);
   index(it->second, true);
   if (server->current) return send_invite(now, *server, it->second, out);
   if (!server->connecting) connect(now, *server, out);
@@ -627,6 +674,7 @@
     used += read.used;
     if (read.state == sip::ReadState::more) {
       if (!it->second.half_since) it->second.half_since = now;
+      half_read_.insert(e.conn.number);
       break;
     }
     it->second.half_since.reset();
@@ -794,9 +842,10 @@
   if (server->told_every == Duration{}) return;
   const Duration silence = server->told_every + server->told_every / 4 + kToldSlack;
   std::vector<std::uint32_t> deaf;
-  for (const auto& [number, other] : connections_) {
-    if (number != conn && other.server == server->id && other.up && now - other.heard > silence)
-      deaf.push_back(number);
+  looked_at_ += server->connections.size();
+  for (const std::uint32_t number : server->connections) {
+    const Connection& other = connections_.at(number);
+    if (number != conn && other.up && now - other.heard > silence) deaf.push_back(number);
   }
   close_deaf(now, *server, deaf, out);
 }
@@ -809,9 +858,11 @@
   server->slowest = std::max(now - sent, server->slowest - server->slowest / 16);
   server->answers = std::min(server->answers + 1, kAnswersKnown);
   std::vector<std::uint32_t> deaf;
-  for (const auto& [number, other] : connections_) {
+  looked_at_ += server->connections.size();
+  for (const std::uint32_t number : server->connections) {
+    const Connection& other = connections_.at(number);
     // One set-up may have been lost by itself.
-    if (number == conn || other.server != server->id || !other.up || other.unanswered.size() < 2) continue;
+    if (number == conn || !other.up || other.unanswered.size() < 2) continue;
     const auto oldest = oldest_unanswered(other);
     if (oldest && std::max(*oldest, other.heard) + kOvertaken < sent) deaf.push_back(number);
   }
--- a/src/back/setup_servers.h
+++ b/src/back/setup_servers.h
@@ -96,12 +96,15 @@
     std::set<LegKey> legs{};                         // all there
     std::set<LegKey> queued{};                       // those that wait for a connection
     std::set<std::pair<Time, LegKey>> unanswered{};  // those sent and neither answered nor given up, by time
+    std::set<std::uint32_t> connections{};           // all to it, up or being made
   };
 
   Server* find(ServerId id);
   void connect(Time now, Server& server, Outbox& out, bool for_news = false);
   void send_invite(Time now, Server& server, Leg& leg, Outbox& out);
   void look_after(Time now, Server& server, Outbox& out);
+  void look_after_all(Time now, Outbox& out);
+  void set_aside(Server& server);
   void answered(Time now, std::uint32_t conn, const sip::Message& m, Outbox& out);
   void requested(Time now, std::uint32_t conn, const sip::Message& m, Outbox& out);
   void over(const Leg& leg, core::AttemptOver over, Outbox& out);
@@ -117,7 +120,7 @@
   bool owes(Time now, const Server& server) const;
   bool may_be_told_on(const Server& server, std::uint32_t conn) const;
   std::optional<Time> oldest_unanswered(const Connection& c) const;
-  std::size_t connections_to(ServerId server, bool for_news) const;
+  std::size_t connections_to(const Server& server, bool for_news) const;
   void note_told(Time now, std::uint32_t conn, Outbox& out);
   static std::string trouble_with(const sip::ReadResult& read);
   static bool has_description(const sip::Message& m);
@@ -132,6 +135,12 @@
   SeldomWarning refused_;
   std::map<ServerId, Server> servers_;
   std::map<std::uint32_t, Connection> connections_;
+  // What a tick has to look at; more may stand here, and goes when it is found to need nothing. A server that
+  // is reached and has no legs needs nothing until one of these changes.
+  std::set<ServerId> to_look_after_;   // all with legs, or in service and without a connection in use
+  std::set<std::uint32_t> half_read_;  // all connections on which a message has begun
+  std::set<std::uint32_t> aside_;      // all that are up and not their server's current one
+  std::uint64_t looked_at_ = 0;        // servers and connections, since the last tick
   Legs legs_;
   std::unordered_multimap<std::string, LegKey> by_label_;
   Due<LegKey> due_;  // given up long enough, or remembered long enough
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -116,6 +116,61 @@
   CHECK_EQ(lab.messages(lab.s1).at(0).method, "INVITE");
 }
 
+// What the program has counted under a name.
+std::uint64_t counted(Lab& lab, const std::string& name) {
+  net::Effects effects;
+  lab.gatekeeper.step(lab.now, net::CountersAsked{}, effects);
+  for (const net::Effect& effect : effects) {
+    const auto* print = std::get_if<net::Print>(&effect);
+    const std::size_t at = print == nullptr ? std::string::npos : print->text.find(name + " ");
+    if (at != std::string::npos) return std::stoull(print->text.substr(at + name.size() + 1));
+  }
+  return 0;
+}
+
+// Each tick, each answer and each word of a server's state went through the whole list.
+void a_long_list_costs_nothing_while_nothing_is_due() {
+  Ready lab(300);
+  lab.pass(1s);
+  auto looked_at = [&lab, before = std::uint64_t{0}]() mutable {
+    const std::uint64_t all = counted(lab, "servers.looked_at");
+    return all - std::exchange(before, all);
+  };
+  CHECK(looked_at() <= 2 * 300);  // at its start
+  lab.pass(10s);
+  CHECK_EQ(looked_at(), 0U);
+  // One server has a call: it is looked at in each of 20 ticks a second, and once for its answer.
+  lab.receive(kCaller, set_up());
+  lab.receive(lab.s0, server_answer(lab.invite(lab.s0), 200, "a"));
+  lab.pass(10s);
+  CHECK_EQ(looked_at(), 201U);
+  lab.receive(lab.s0, server_bye(kId, 16));
+  lab.pass(15s);  // it is remembered for a while
+  looked_at();
+  lab.pass(10s);
+  CHECK_EQ(looked_at(), 0U);
+  // All tell their state twice: each on its own connection.
+  for (std::uint32_t i = 0; i < 600; ++i)
+    lab.receive({Concern::server, lab.s0.number + i % 300},
+                "NOTIFY sip:x@net SIP/2.0\r\nCall-ID: n\r\nP-Load: x0:9\r\nContent-Length: 0\r\n\r\n");
+  lab.pass(1s);
+  CHECK(looked_at() <= 600);
+  // One that is lost is looked after until it is back, and no other one is.
+  lab.connects.clear();
+  lab.tell(net::Closed{lab.s1, true});
+  CHECK_EQ(lab.connects.size(), 1U);
+  lab.tell(net::ConnectFailed{lab.connects[0].conn, true});
+  lab.connects.clear();
+  lab.pass(1s);
+  CHECK_EQ(lab.connects.size(), 1U);
+  CHECK(looked_at() <= 21);
+  lab.bring_up();
+  lab.pass(1s);
+  looked_at();
+  lab.pass(10s);
+  CHECK_EQ(looked_at(), 0U);
+}
+
 // A server numbers its answers itself: with 1 in CSeq each time. Matched on that number too, the answer to a
 // further attempt at the same server was laid to the first one, and the call hung until its deadline.
 void a_further_attempt_at_the_same_server_is_answered() {
@@ -838,6 +893,7 @@
   after_a_reset_the_release_is_awaited();
   a_full_server_sends_the_call_elsewhere_at_once();
   a_full_server_tells_its_wait();
+  a_long_list_costs_nothing_while_nothing_is_due();
   a_further_attempt_at_the_same_server_is_answered();
   the_end_of_a_call_may_come_on_the_connection_of_an_earlier_attempt();
   a_silent_connection_is_noticed_by_what_it_owes();
