Leave the loop's descriptors in place while one of them is dispatched

GLib takes the descriptor of a source that may not be entered again out of the loop for the time of its dispatch, by two writes to itself, a read and a turn of poll for nothing. The loop is never run within itself, so its sources say that they may be. A test counts turns: 2 a message, where it was 3.

--- a/src/net/runtime.cpp
+++ b/src/net/runtime.cpp
@@ -54,9 +54,13 @@
 }
 
 // GIO's own source of a socket wakes the loop by a write to itself each time it is dispatched, which cost
-// more than the message that had come; the descriptor's does not.
-GSource* watch(GSocket* socket, GIOCondition condition) {
-  return g_unix_fd_source_new(g_socket_get_fd(socket), condition);
+// more than the message that had come; the descriptor's does not where it may be entered again. The loop is
+// never run within itself, so it isn't: but GLib takes any other source's descriptor out of the loop while it
+// is dispatched, by two writes, a read and a turn for nothing.
+GSource* watch(int descriptor, GIOCondition condition) {
+  GSource* source = g_unix_fd_source_new(descriptor, condition);
+  g_source_set_can_recurse(source, TRUE);
+  return source;
 }
 
 // Told of a socket that is watched for anything.
@@ -163,7 +167,7 @@
       tick_ = nullptr;
       return 1;
     }
-    sockets.start(g_unix_fd_source_new(poll_, G_IO_IN), &Impl::on_sockets, this);
+    sockets.start(watch(poll_, G_IO_IN), &Impl::on_sockets, this);
     term.start(g_unix_signal_source_new(SIGTERM), &Impl::on_term, this);
     user.start(g_unix_signal_source_new(SIGUSR1), &Impl::on_user, this);
     hangup.start(g_unix_signal_source_new(SIGHUP), &Impl::on_hangup, this);
@@ -363,12 +367,14 @@
     if (type == G_SOCKET_TYPE_STREAM) {
       watch_accepting(*listener);
     } else {
-      listener->source.start(watch(listener->socket.get(), G_IO_IN), &Impl::on_datagram, listener.get());
+      listener->source.start(watch(g_socket_get_fd(listener->socket.get()), G_IO_IN), &Impl::on_datagram,
+                             listener.get());
     }
     listeners_.push_back(std::move(listener));
   }
   void watch_accepting(Listener& listener) {
-    listener.source.start(watch(listener.socket.get(), G_IO_IN), &Impl::on_acceptable, &listener);
+    listener.source.start(watch(g_socket_get_fd(listener.socket.get()), G_IO_IN), &Impl::on_acceptable,
+                          &listener);
   }
 
   // Whether it listens. One that is exclusive is tried again by whoever wants it, and says so itself.
--- a/tests/runtime_test.cpp
+++ b/tests/runtime_test.cpp
@@ -184,6 +184,42 @@
   CHECK(gone_through > 0 && gone_through < 10);
 }
 
+std::size_t turns = 0;
+gint count_turns(GPollFD* all, guint count, gint wait) {
+  ++turns;
+  return g_poll(all, count, wait);
+}
+
+// One turn for a message and one for the timer behind it; a third one was for nothing.
+void a_message_costs_one_turn_of_the_loop() {
+  const int port = Socket::bound(SOCK_STREAM).port();
+  net::Runtime runtime({}, net::Logger(net::Level::error));
+  Socket caller;
+  std::size_t read = 0;
+  constexpr std::size_t kMessages = 100;
+  g_main_context_set_poll_func(g_main_context_default(), &count_turns);
+  const int status = runtime.run([&](Time now, const net::Event& event, net::Effects& effects) {
+    if (begins_or_ends(now, event, port, effects)) return;
+    if (const auto* e = std::get_if<net::TimerFired>(&event); e != nullptr && e->key.number == 0) {
+      caller = Socket::connected(port);
+    } else if (e != nullptr) {
+      caller.send("x");
+      if (read >= kMessages) effects.push_back(net::Exit{0});
+      effects.push_back(net::ArmTimer{{net::Concern::platform, 1}, now + std::chrono::milliseconds(2)});
+    } else if (std::holds_alternative<net::Accepted>(event)) {
+      turns = 0;
+      effects.push_back(net::ArmTimer{{net::Concern::platform, 1}, now + std::chrono::milliseconds(2)});
+    } else if (const auto* received = std::get_if<net::Received>(&event)) {
+      ++read;
+      effects.push_back(net::Consume{received->conn, received->bytes.size()});
+    }
+  });
+  g_main_context_set_poll_func(g_main_context_default(), nullptr);
+  CHECK_EQ(status, 0);
+  CHECK_EQ(read, kMessages);
+  CHECK(turns <= 2 * kMessages + 20);
+}
+
 // Both have something to be read at the same turn of the loop; the one read first ends the other.
 void a_connection_that_ended_in_the_same_turn_is_told_nothing_more() {
   const int port = Socket::bound(SOCK_STREAM).port();
@@ -477,6 +513,7 @@
 int main() {
   signals_before_the_loop_are_not_lost();
   a_turn_of_the_loop_goes_through_few_descriptors();
+  a_message_costs_one_turn_of_the_loop();
   a_connection_that_ended_in_the_same_turn_is_told_nothing_more();
   a_callers_end_is_told_ahead_of_what_is_unread();
   a_callers_end_is_told_while_reading_is_held_back();
