--- a/tests/config_distributor_test.cpp
+++ b/tests/config_distributor_test.cpp
@@ -141,7 +141,7 @@
     Link& l = links_[link];
     if (!std::exchange(l.open, false)) return;
     for (int side : {0, 1}) {
-      if (!l.ends[side]->running || l.ends[side]->links.erase(l.ids[side]) == 0) continue;
+      if (!l.ends[side]->running || !l.ends[side]->links.contains(l.ids[side])) continue;
       queue_.push_back({l.ends[side], net::Closed{l.ids[side], reset}, {}});
     }
   }
@@ -160,11 +160,13 @@
     if (due.link) {
       Link& l = links_[*due.link];
       const ConnId conn = std::get<net::Received>(due.event).conn;
-      if (!l.open || !p.reads) return;
+      if (!p.links.contains(conn) || !p.reads) return;
       bytes = l.unread[side_of(*due.link, p, conn)];
       if (bytes.empty()) return;
       due.event = net::Received{conn, bytes};
     }
+    // What was sent before the other side's end has been read by then.
+    if (const auto* closed = std::get_if<net::Closed>(&due.event)) p.links.erase(closed->conn);
     net::Effects effects;
     p.step(now, due.event, effects);
     for (const net::Effect& effect : effects) {
@@ -197,6 +199,7 @@
     const auto it = p.links.find(e.conn);
     if (it == p.links.end()) return;
     Link& l = links_[it->second];
+    if (!l.open) return;
     const int other = 1 - side_of(it->second, p, e.conn);
     l.unread[other] += e.bytes;
     queue_.push_back({l.ends[other], net::Received{l.ids[other], {}}, it->second});
@@ -620,6 +623,19 @@
   // Its connections stay, though it asks for nothing yet.
   CHECK_EQ(lab.d[2]->counters().of("distributor.peers_lost"), 0U);
   CHECK(!lab.voting(2) && !lab.files[2].empty());
+  // Nothing is published through it; the command goes on to the next one.
+  ConfigCtlSettings s = lab.publishing("trail", patch("2"));
+  s.to = {address_of(2)};
+  const Lab::Result alone = lab.ctl(s);
+  CHECK_EQ(alone.status, ConfigCtl::kNotAll);
+  check_has(alone.text, "not published: not voting yet");
+  s.to = {address_of(2), address_of(1), address_of(0)};
+  const Lab::Result next = lab.ctl(s);
+  CHECK_EQ(next.status, ConfigCtl::kDone);
+  check_has(next.text, "committed by d2");
+  check_has(next.text, "d3 " + address_of(2) + " has no vote: recovering");
+  CHECK(lab.net.run_until([&] { return lab.committed(2, "trail") == lab.committed(0, "trail"); }, 1s));
+  CHECK(!lab.voting(2));
   lab.kill(2);
   lab.start(2);
   CHECK(!lab.voting(2));
@@ -830,6 +846,80 @@
   CHECK_EQ(lab.ctl(s).status, ConfigCtl::kNobody);
 }
 
+// One that takes connections and is silent holds up neither the command nor the others.
+void a_distributor_that_hangs() {
+  Lab lab;
+  lab.all_vote();
+  lab.add_gatekeepers(6, {"trail"});
+  lab.net.run(3s);
+  CHECK_EQ(lab.ctl(lab.publishing("trail", patch("1"))).status, ConfigCtl::kDone);
+  lab.p[2]->running = false;  // stopped; its connections stand
+  ConfigCtlSettings s = lab.publishing("trail", patch("2"));
+  s.within = 3s;
+  const Lab::Result published = lab.ctl(s);
+  CHECK_EQ(published.status, ConfigCtl::kNotAll);
+  check_has(published.text, address_of(2) + ": no answer in time");
+  check_has(published.text, "committed by d1");
+  check_has(published.text, "in force at ");
+  s.to = {address_of(2)};
+  const Lab::Result unknown = lab.ctl(s);
+  CHECK_EQ(unknown.status, ConfigCtl::kNotAll);
+  check_has(unknown.text, "not known whether it is in force: look at the status");
+  CHECK_EQ(lab.ctl(lab.asking("trail")).status, ConfigCtl::kNotAll);
+  // Silent for three beats it is given up; gatekeepers count themselves elsewhere.
+  lab.net.run(25s);
+  CHECK(lab.d[0]->counters().of("distributor.peers_lost") > 0);
+  s = lab.publishing("trail", patch("3"));
+  s.to = {address_of(0), address_of(1)};
+  const Lab::Result without = lab.ctl(s);
+  CHECK_EQ(without.status, ConfigCtl::kDone);
+  check_has(without.text, "in force at 6 of 6");
+  lab.p[2]->running = true;
+  CHECK(lab.net.run_until([&] { return lab.committed(2, "trail") == lab.committed(0, "trail"); }, 60s));
+  lab.net.run(30s);
+  const Lab::Result all = lab.ctl(lab.asking("trail"));
+  CHECK_EQ(all.status, ConfigCtl::kDone);
+  check_has(all.text, "in force at 6 of 6");
+}
+
+// Whoever else listens there.
+void answers_that_can_not_be_read_are_told() {
+  const std::vector<std::string> answers = {
+      "nonsense\n",
+      "{}\n{\"re\":3}\n",
+      "{\"re\":\"config\"}\n",
+      "{\"re\":\"config\",\"what\":\"status\"}\n",
+      "{\"re\":\"config\",\"what\":\"status\",\"ok\":true}\n",
+      "{\"re\":\"config\",\"what\":\"status\",\"ok\":true,\"standing\":\"voting\",\"service\":\"trail\","
+      "\"version\":-1}\n",
+      "{\"re\":\"config\",\"what\":\"status\",\"ok\":true,\"standing\":\"voting\",\"services\":[1]}\n",
+      "{\"re\":\"config\",\"what\":\"publish\",\"ok\":true}\n",
+      "{\"re\":\"config\",\"what\":\"publish\",\"ok\":true,\"version\":1,\"digest\":2}\n",
+      std::string(kLineBound + 1, 'x')};
+  std::size_t unread = 0;
+  for (const std::string& answer : answers) {
+    Lab lab(1);
+    Program& other = lab.net.add([&](Time, const net::Event& event, net::Effects& out) {
+      if (std::holds_alternative<net::Started>(event))
+        out.push_back(net::Listen{Concern::control, "10.0.0.9:7800"});
+      if (const auto* got = std::get_if<net::Received>(&event)) {
+        out.push_back(net::Consume{got->conn, got->bytes.size()});
+        out.push_back(net::Send{got->conn, answer});
+      }
+    });
+    lab.net.start(other);
+    for (ConfigCtlSettings s : {lab.publishing("trail", patch("1")), lab.asking("trail"), lab.asking("")}) {
+      s.to = {"10.0.0.9:7800"};
+      s.within = 2s;
+      const Lab::Result result = lab.ctl(s);
+      CHECK(result.status != ConfigCtl::kDone);
+      CHECK(!result.text.empty());
+      unread += has(result.text, "can't be read") ? 1 : 0;
+    }
+  }
+  CHECK(unread > 15);
+}
+
 void a_gatekeeper_that_is_gone_is_not_heard_of() {
   Lab lab;
   lab.all_vote();
@@ -1037,6 +1127,8 @@
   two_publishers_at_once();
   the_small_side_of_a_cut_publishes_nothing_and_comes_back();
   nobody_to_be_reached();
+  a_distributor_that_hangs();
+  answers_that_can_not_be_read_are_told();
   a_gatekeeper_that_is_gone_is_not_heard_of();
   many_that_are_gone_are_told_in_several_lines();
   a_client_that_never_reads_costs_little();
