Take connections that are ready in order of age, as the loop did with its own sources

The kernel puts who was heard last turn ahead of who has just spoken; to blame is the order of epoll_wait's events in sockets_ready. Up to 256 are taken at a turn, the oldest first.

--- a/src/net/runtime.cpp
+++ b/src/net/runtime.cpp
@@ -13,6 +13,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <deque>
 #include <map>
 #include <queue>
@@ -67,7 +68,7 @@
 // Told of a socket that is watched for anything.
 constexpr std::uint32_t kBroken = EPOLLERR | EPOLLHUP;
 // So many connections at one turn of the loop; timers are looked at between.
-constexpr int kMostAtOnce = 64;
+constexpr int kMostAtOnce = 256;
 
 // A source of the running thread's loop that ends with its owner.
 class Source {
@@ -302,6 +303,10 @@
   void sockets_ready() {
     epoll_event events[kMostAtOnce];
     const int count = epoll_wait(poll_, events, kMostAtOnce, 0);
+    // The oldest ones first, as the loop has it with its own sources. The kernel puts who was heard last turn
+    // ahead of who has just spoken: a set-up then waited for two rounds of callers that flood.
+    std::sort(events, events + std::max(0, count),
+              [](const epoll_event& a, const epoll_event& b) { return a.data.u64 < b.data.u64; });
     for (int i = 0; i < count && !status_; ++i) {
       // What came before in this turn may have ended it, or changed what it is watched for.
       const std::uint32_t told = events[i].events;
