Test the distribution of configuration with real processes and faults between them

The pure core and the edge are tested under clocks of their own; nothing yet put real distributors, real gatekeepers and the command together under faults. Five distributors, twelve to fourteen gatekeepers, a relay between all of them: two publishers at once, a publisher, a command and a gatekeeper killed at the instants that matter, reloads and upgrades crossed, refusals, stops, cuts and starts from nothing.

--- /dev/null
+++ b/tests/configuration_process_test.cpp
@@ -0,0 +1,1109 @@
+// The distribution of configuration with real processes: five distributors, a dozen gatekeepers, a relay
+// between all of them, `graniterunctl config`, and faults put in from outside. The verdict rests on what each
+// holds in the end and on the order of what was told, never on how fast the machine was; each fault is shown
+// to have taken hold. In all cases a record is kept of what each gatekeeper has in force: no number goes
+// back, and no number has two contents. Usage: configuration_process_test GATEKEEPER GRANITERUNCTL
+// DISTRIBUTOR [CASE]
+#include <sys/ioctl.h>
+#include <sys/prctl.h>
+#include <sys/stat.h>
+
+#include <algorithm>
+#include <csignal>
+#include <filesystem>
+
+#include "lab/config_rig.h"
+#include "lab/stream_relay.h"
+#include "programs.h"
+#include "proto/sip.h"
+#include "world.h"
+
+using namespace graniterun;
+using namespace graniterun::test;
+using lab::StreamRelay;
+using nlohmann::json;
+using namespace std::chrono_literals;
+using Steady = std::chrono::steady_clock;
+
+namespace {
+
+constexpr auto kPatience = 20s;
+constexpr std::size_t kDistributors = 5;
+constexpr std::size_t kGatekeepers = 12;
+constexpr std::size_t kOdd = 10;   // from this one on their files name one class instead of two
+constexpr std::size_t kLate = 12;  // places of those that are started later
+constexpr std::size_t kUpgraded = 13;
+constexpr std::size_t kSuccessor = 14;
+constexpr std::size_t kPlaces = 15;
+
+std::string gatekeeper;
+std::string ctl;
+std::string distributor;
+
+void took_hold(const std::string& fault, std::uint64_t times) {
+  std::cout << fault << ": " << times << " times" << std::endl;
+  CHECK(times > 0);
+}
+
+bool until(const std::function<bool()>& holds, std::chrono::milliseconds most = kPatience) {
+  return lab::ConfigRig::until(most, holds);
+}
+
+// Its file names the first class only.
+void one_class(json& config) {
+  json& settings = config["settings"];
+  settings["classes"].erase(1);
+  settings["familyInfo"]["classHoldNs"].erase(1);
+  settings["familyInfo"]["poolsByClass"] = json::array({json::array({0})});
+}
+
+// A setup server that takes every call, and keeps its answers back while it is told to.
+class ServerStandIn {
+ public:
+  ServerStandIn() : listener_(Socket::bound(SOCK_STREAM)), port_(listener_.port()) {
+    thread_ = std::thread([this] { run(); });
+  }
+  ~ServerStandIn() {
+    ends_ = true;
+    thread_.join();
+  }
+  int port() const { return port_; }
+  void hold(bool on) { held_ = on; }
+  std::size_t waiting() const { return waiting_; }
+
+ private:
+  struct Peer {
+    Socket socket;
+    std::string unread;
+    std::vector<std::string> answers;
+  };
+  void run() {
+    std::vector<Peer> peers;
+    while (!ends_) {
+      std::vector<pollfd> polls{{listener_.descriptor(), POLLIN, 0}};
+      for (const Peer& p : peers) polls.push_back({p.socket.descriptor(), POLLIN, 0});
+      ::poll(polls.data(), polls.size(), 5);
+      std::size_t waiting = 0;
+      for (std::size_t i = polls.size(); i-- > 1;) {
+        Peer& p = peers[i - 1];
+        bool over = false;
+        if (polls[i].revents != 0) {
+          char buffer[65536];
+          const ssize_t got = ::recv(p.socket.descriptor(), buffer, sizeof buffer, MSG_DONTWAIT);
+          over = got == 0 || (got < 0 && errno != EAGAIN);
+          if (got > 0) p.unread.append(buffer, static_cast<std::size_t>(got));
+        }
+        while (!over && !p.unread.empty()) {
+          const sip::ReadResult read = sip::read_stream(p.unread);
+          if (read.state != sip::ReadState::message) break;
+          if (!read.message.method.empty() && read.message.method != "ACK")
+            p.answers.push_back("SIP/2.0 200 OK\r\nCall-ID: " + std::string(read.message.header("Call-ID")) +
+                                "\r\nCSeq: " + std::string(read.message.header("CSeq")) +
+                                "\r\nContent-Length: 1\r\n\r\na");
+          p.unread.erase(0, read.used);
+        }
+        if (!held_) {
+          for (const std::string& a : p.answers)
+            over = ::send(p.socket.descriptor(), a.data(), a.size(), MSG_NOSIGNAL) < 0 || over;
+          p.answers.clear();
+        }
+        waiting += p.answers.size();
+        if (over) peers.erase(peers.begin() + static_cast<std::ptrdiff_t>(i - 1));
+      }
+      waiting_ = waiting;
+      if (polls[0].revents != 0) peers.push_back({listener_.accept(), {}, {}});
+    }
+  }
+  Socket listener_;
+  int port_;
+  std::atomic<bool> held_{false};
+  std::atomic<bool> ends_{false};
+  std::atomic<std::size_t> waiting_{0};
+  std::thread thread_;
+};
+
+// The operator's command, while it runs.
+class Ctl {
+ public:
+  explicit Ctl(const std::vector<std::string>& arguments) {
+    int out[2];
+    CHECK(::pipe2(out, O_CLOEXEC) == 0);
+    std::vector<char*> all{ctl.data()};
+    for (const std::string& a : arguments) all.push_back(const_cast<char*>(a.c_str()));
+    all.push_back(nullptr);
+    pid_ = ::fork();
+    CHECK(pid_ >= 0);
+    if (pid_ == 0) {
+      ::prctl(PR_SET_PDEATHSIG, SIGKILL);
+      ::dup2(out[1], 1);
+      ::execv(all[0], all.data());
+      ::_exit(127);
+    }
+    ::close(out[1]);
+    out_ = Socket(out[0]);
+  }
+  ~Ctl() {
+    if (pid_ <= 0) return;
+    ::kill(pid_, SIGKILL);
+    ::waitpid(pid_, nullptr, 0);
+  }
+  Ctl(const Ctl&) = delete;
+  Ctl& operator=(const Ctl&) = delete;
+  // Waits for its end: its exit status, or 1000 and the signal that ended it.
+  int finish() {
+    const auto end = Steady::now() + 40s;
+    char buffer[65536];
+    while (true) {
+      pollfd p{out_.descriptor(), POLLIN, 0};
+      CHECK(Steady::now() < end);
+      if (::poll(&p, 1, 1000) <= 0) continue;
+      const ssize_t got = ::read(out_.descriptor(), buffer, sizeof buffer);
+      if (got <= 0) break;
+      text_.append(buffer, static_cast<std::size_t>(got));
+    }
+    int status = 0;
+    CHECK(::waitpid(std::exchange(pid_, -1), &status, 0) > 0);
+    answer_ = json::parse(text_, nullptr, false);
+    return WIFEXITED(status) ? WEXITSTATUS(status) : 1000 + WTERMSIG(status);
+  }
+  bool runs() const {
+    siginfo_t info{};
+    return ::waitid(P_PID, static_cast<id_t>(pid_), &info, WEXITED | WNOHANG | WNOWAIT) == 0 &&
+           info.si_pid == 0;
+  }
+  void kill() const { ::kill(pid_, SIGKILL); }
+  const json& answer() const { return answer_; }
+  const std::string& text() const { return text_; }
+  std::uint64_t version() const {
+    return answer_.is_object() && answer_.value("committed", json()) == true
+               ? answer_.value("version", std::uint64_t{0})
+               : 0;
+  }
+  std::string digest() const { return answer_.value("digest", ""); }
+
+ private:
+  pid_t pid_ = -1;
+  Socket out_;
+  std::string text_;
+  json answer_;
+};
+
+struct Held {
+  std::uint64_t version = 0;
+  std::string digest{};
+  std::uint64_t refused = 0;
+  std::string reason{};
+};
+struct View {
+  bool known = false;  // it has answered
+  bool ready = false;
+  std::uint64_t answers = 0;
+  std::map<std::string, Held> services{};
+  std::map<std::string, Held> at_ready{};  // what it held when it first said that it is ready
+};
+
+class Rig {
+ public:
+  Rig() : journal_(hosts()) {
+    const char* tmp = ::getenv("TMPDIR");
+    dir_ = std::string(tmp != nullptr ? tmp : "/tmp") + "/graniterun-configuration-" +
+           std::to_string(::getpid());
+    std::filesystem::create_directories(dir_);
+    std::ofstream(dir_ + "/key") << std::string(32, 'a') << std::string(32, '7') << '\n';
+    ::chmod((dir_ + "/key").c_str(), 0600);
+    std::vector<Socket> taken;  // until all are chosen: no two are the same
+    const auto port = [&taken] {
+      taken.push_back(Socket::bound(SOCK_STREAM));
+      return taken.back().port();
+    };
+    for (Distributor& d : distributors_) d.port = port();
+    for (Place& p : places_) p.listen = port(), p.control = port(), p.management = port();
+    std::vector<int> real;
+    for (std::size_t side = 0; side <= kPlaces; ++side) {
+      for (const Distributor& d : distributors_) real.push_back(d.port);
+    }
+    relay_ = std::make_unique<StreamRelay>(real);
+    taken.clear();
+    for (std::size_t d = 0; d < kDistributors; ++d) start_distributor(d);
+    for (std::size_t g = 0; g < kGatekeepers; ++g) start(g);
+    watcher_ = std::thread([this] { watch(); });
+    for (std::size_t d = 0; d < kDistributors; ++d) votes(d);
+    const bool ready = until([&] { return all_of([](const View& v) { return v.ready; }); });
+    for (std::size_t g = 0; !ready && g < kGatekeepers; ++g) {
+      if (!view(g).ready) std::cerr << "g" << g << " is not ready:\n" << places_[g].program->log();
+    }
+    CHECK(ready);
+    CHECK(until([&] { return status_of("all").value("subscribed", 0U) == kGatekeepers; }));
+  }
+  ~Rig() {
+    ends_ = true;
+    watcher_.join();
+    for (Place& p : places_) p.program.reset();
+    for (Distributor& d : distributors_) d.child.reset();
+    std::error_code ignored;
+    if (::getenv("GRANITERUN_KEEP") == nullptr) std::filesystem::remove_all(dir_, ignored);
+  }
+
+  // ---- distributors
+
+  // The others reach it through the relay.
+  void start_distributor(std::size_t d) {
+    std::string peers;
+    for (std::size_t i = 0; i < kDistributors; ++i)
+      peers += (i == 0 ? "" : ",") + at(relay_->port(kPlaces * kDistributors + i));
+    const std::string name = "d" + std::to_string(d);
+    const std::string files = dir_ + "/" + name;
+    distributors_[d].child = std::make_unique<lab::Child>(
+        std::vector<std::string>{distributor, "--listen", at(distributors_[d].port), "--advertise",
+                                 at(relay_->port(kPlaces * kDistributors + d)), "--peer", peers, "--key-file",
+                                 dir_ + "/key", "--dir", files, "--name", name, "--connections", "256"},
+        files + ".log");
+  }
+  void kill_distributor(std::size_t d) { distributors_[d].child.reset(); }
+  void forget_files(std::size_t d) { std::filesystem::remove_all(dir_ + "/d" + std::to_string(d)); }
+  void signal_distributor(std::size_t d, int number) { distributors_[d].child->signal(number); }
+  bool up(std::size_t d) const { return distributors_[d].child != nullptr; }
+  int distributor_pid(std::size_t d) const { return distributors_[d].child->pid(); }
+  int distributor_port(std::size_t d) const { return distributors_[d].port; }
+  std::string distributor_log(std::size_t d) const {
+    std::ifstream file(dir_ + "/d" + std::to_string(d) + ".log");
+    return {std::istreambuf_iterator<char>(file), {}};
+  }
+  // It has a vote, as it says itself.
+  void votes(std::size_t d) {
+    const bool does = until([&] {
+      return ask(d, {{"op", "config"}, {"what", "status"}}).value("standing", "") == "voting";
+    });
+    if (!does) std::cerr << distributor_log(d);
+    CHECK(does);
+  }
+  // A line to one of them, and its answer; an empty object: none came.
+  json ask(std::size_t d, const json& line) const {
+    Socket s(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
+    return ask_at(s, distributors_[d].port, line);
+  }
+  // A counter as it prints it.
+  std::uint64_t counted(std::size_t d, const std::string& name) const {
+    const std::size_t before = distributor_log(d).size();
+    distributors_[d].child->signal(SIGUSR1);
+    std::string text;
+    CHECK(until([&] {
+      text = distributor_log(d).substr(before);
+      return text.find("distributor.now.peers_up") != std::string::npos;
+    }));
+    const std::size_t where = text.find(name + " ");
+    return where == std::string::npos ? 0 : std::stoull(text.substr(where + name.size() + 1));
+  }
+  std::uint64_t counted_at_all(const std::string& name) const {
+    std::uint64_t sum = 0;
+    for (std::size_t d = 0; d < kDistributors; ++d) sum += counted(d, name);
+    return sum;
+  }
+
+  // ---- the operator
+
+  // All that are up, the publisher first.
+  std::string to(std::size_t publisher) const {
+    std::string all;
+    for (std::size_t i = 0; i < kDistributors; ++i) {
+      const std::size_t d = (publisher + i) % kDistributors;
+      if (up(d)) all += (all.empty() ? "" : ",") + at(distributors_[d].port);
+    }
+    return all;
+  }
+  std::unique_ptr<Ctl> publishing(std::size_t publisher, const std::string& service, const json& content,
+                                  const std::string& wait_for = "in-force") const {
+    return std::make_unique<Ctl>(std::vector<std::string>{"config", "publish", service, "--json-text",
+                                                          content.dump(), "--to", to(publisher), "--json",
+                                                          "--within", "20s", "--wait-for", wait_for});
+  }
+  // Committed: its version.
+  std::uint64_t publish(std::size_t publisher, const std::string& service, const json& content) const {
+    const auto one = publishing(publisher, service, content, "committed");
+    const int status = one->finish();
+    if (status != 0) std::cerr << one->text();
+    CHECK_EQ(status, 0);
+    CHECK(one->version() != 0);
+    return one->version();
+  }
+  // In force at all.
+  std::uint64_t publish_to_all(std::size_t publisher, const std::string& service, const json& content) {
+    const auto one = publishing(publisher, service, content);
+    const int status = one->finish();
+    if (status != 0) std::cerr << one->text();
+    CHECK_EQ(status, 0);
+    CHECK(one->answer()["all"] == true);
+    all_hold(service, one->version());
+    return one->version();
+  }
+  json status_of(const std::string& service, int* exit_status = nullptr) const {
+    Ctl one({"config", "status", service, "--to", to(0), "--json"});
+    const int status = one.finish();
+    if (exit_status != nullptr) *exit_status = status;
+    if (!one.answer().is_object()) return json::object();
+    for (const json& s : one.answer().value("services", json::array())) {
+      if (s.value("service", "") == service) return s;
+    }
+    return json::object();
+  }
+
+  // ---- gatekeepers
+
+  json config(std::size_t g) const {
+    json c = bench::config_of(at(places_[g].listen), {at(server_.port())}, static_cast<int>(g), kPlaces);
+    c["name"] = "g" + std::to_string(g);
+    c["journal"] = at(journal_.port());
+    c["management"] = at(places_[g].management);
+    c["settings"]["familyInfo"]["poolsByClass"] = {{0}, {0}};
+    if (g == kOdd || g == kOdd + 1) {
+      one_class(c);
+    }
+    return c;
+  }
+  // `name`: of the place whose files, name and listener it has; its connections and ports are its own.
+  void start(std::size_t g, int inherited = -1, std::optional<std::size_t> as = {}) {
+    json list = json::array();
+    for (std::size_t d = 0; d < kDistributors; ++d) list.push_back(at(relay_->port(side(g, d))));
+    const json deploy = {{"configuration",
+                          {{"distributors", list},
+                           {"services", {"all", "own-" + std::to_string(as.value_or(g))}},
+                           {"key_file", dir_ + "/key"}}},
+                         {"control", {{"listen", at(places_[g].control)}}}};
+    json c = config(as.value_or(g));
+    c["management"] = at(places_[g].management);
+    auto program = std::make_unique<Program>(gatekeeper, c.dump(), deploy.dump(), inherited,
+                                             [] { ::prctl(PR_SET_PDEATHSIG, SIGKILL); });
+    const std::lock_guard lock(mutex_);
+    places_[g].program = std::move(program);
+    places_[g].view = {};
+    places_[g].asked = Socket();
+  }
+  void kill(std::size_t g) {
+    const std::lock_guard lock(mutex_);
+    places_[g].program.reset();
+    places_[g].view = {};
+    places_[g].asked = Socket();
+  }
+  Program& program(std::size_t g) { return *places_[g].program; }
+  int listen_of(std::size_t g) const { return places_[g].listen; }
+  View view(std::size_t g) const {
+    const std::lock_guard lock(mutex_);
+    return places_[g].view;
+  }
+  Held held(std::size_t g, const std::string& service) const {
+    const View v = view(g);
+    const auto it = v.services.find(service);
+    return it == v.services.end() ? Held{} : it->second;
+  }
+  bool all_of(const std::function<bool(const View&)>& holds) const {
+    const std::lock_guard lock(mutex_);
+    return std::ranges::all_of(places_,
+                               [&](const Place& p) { return !p.program || (p.view.known && holds(p.view)); });
+  }
+  std::size_t count_of(const std::string& service, std::uint64_t version) const {
+    const std::lock_guard lock(mutex_);
+    return static_cast<std::size_t>(std::ranges::count_if(places_, [&](const Place& p) {
+      const auto it = p.view.services.find(service);
+      return p.program && it != p.view.services.end() && it->second.version == version;
+    }));
+  }
+  std::size_t running() const {
+    const std::lock_guard lock(mutex_);
+    return static_cast<std::size_t>(
+        std::ranges::count_if(places_, [](const Place& p) { return p.program != nullptr; }));
+  }
+  // All who subscribe to it come to hold this version.
+  void all_hold(const std::string& service, std::uint64_t version) {
+    const bool all = until([&] {
+      return all_of([&](const View& v) {
+        const auto it = v.services.find(service);
+        return it == v.services.end() || it->second.version == version;
+      });
+    });
+    if (!all) {
+      for (std::size_t g = 0; g < kPlaces; ++g) {
+        if (!places_[g].program || held(g, service).version == version) continue;
+        std::cerr << "g" << g << " holds " << service << " " << held(g, service).version << ", not "
+                  << version << "\n"
+                  << places_[g].program->log();
+      }
+    }
+    CHECK(all);
+  }
+  // A counter of a gatekeeper's, as its operators see it.
+  std::uint64_t figure(std::size_t g, const std::string& name) const {
+    Socket s = Socket::connected(places_[g].management);
+    s.send("telemetry\n");
+    const std::string text = s.until("END\n");
+    const std::string start = "\ngatekeeper.config_distribution_" + name + ":";
+    const std::size_t where = text.find(start);
+    return where == std::string::npos ? 0 : std::stoull(text.substr(where + start.size()));
+  }
+  std::uint64_t figure_of_all(const std::string& name) const {
+    std::uint64_t sum = 0;
+    for (std::size_t g = 0; g < kGatekeepers; ++g) sum += figure(g, name);
+    return sum;
+  }
+  // A call there is answered, and ends.
+  void serves(std::size_t g) {
+    Socket caller = Socket::connected(places_[g].listen);
+    const std::string id = "00000000000" + std::to_string(10000 + ++calls_);
+    caller.send(set_up(id, 9000));
+    CHECK_EQ(json::parse(caller.line())["type"], "answer");
+    caller.send(json{{"type", "release"}, {"id", id}, {"fields", json::object()}, {"cause", 16}}.dump() +
+                "\n");
+    CHECK_EQ(json::parse(caller.line())["type"], "released");
+  }
+
+  // ---- the relay
+
+  static std::size_t side(std::size_t g, std::size_t d) { return g * kDistributors + d; }
+  static std::size_t peer_side(std::size_t d) { return kPlaces * kDistributors + d; }
+  void hold(std::size_t g, StreamRelay::Way way, bool on) {
+    for (std::size_t d = 0; d < kDistributors; ++d) relay_->hold(side(g, d), way, on);
+  }
+  void cut(std::size_t g, bool on) {
+    for (std::size_t d = 0; d < kDistributors; ++d) {
+      relay_->cut(side(g, d), StreamRelay::there, on);
+      relay_->cut(side(g, d), StreamRelay::back, on);
+    }
+  }
+  StreamRelay& relay() { return *relay_; }
+  ServerStandIn& server() { return server_; }
+
+  // ---- what is true at all times
+
+  void record_is_sound() const {
+    const std::lock_guard lock(mutex_);
+    CHECK_EQ(back_, 0U);
+    CHECK_EQ(mixed_, 0U);
+  }
+  void told(const std::string& service, std::uint64_t version, const std::string& digest) {
+    const std::lock_guard lock(mutex_);
+    agree(service, version, digest);
+  }
+
+ private:
+  struct Distributor {
+    int port{};
+    std::unique_ptr<lab::Child> child;
+  };
+  struct Place {
+    int listen{};
+    int control{};
+    int management{};
+    std::unique_ptr<Program> program;
+    View view;
+    Socket asked;
+  };
+  json hosts() const {
+    return bench::config_of("127.0.0.1:1", {at(server_.port())}, 0, 1)["known"]["entries"][0]["hosts"];
+  }
+  static json ask_at(Socket& s, int port, const json& line) {
+    const sockaddr_in address = loopback(port);
+    const int fd = s.descriptor();
+    const std::string text = line.dump() + "\n";
+    if (::connect(fd, reinterpret_cast<const sockaddr*>(&address), sizeof address) != 0)
+      return json::object();
+    return exchange(fd, text);
+  }
+  static json exchange(int fd, const std::string& text) {
+    if (::send(fd, text.data(), text.size(), MSG_NOSIGNAL) < 0) return json::object();
+    std::string got;
+    const auto end = Steady::now() + 2s;
+    while (Steady::now() < end) {
+      pollfd p{fd, POLLIN, 0};
+      if (::poll(&p, 1, 100) <= 0) continue;
+      char buffer[65536];
+      const ssize_t count = ::recv(fd, buffer, sizeof buffer, 0);
+      if (count <= 0) break;
+      got.append(buffer, static_cast<std::size_t>(count));
+      for (std::size_t line = got.find('\n'); line != std::string::npos; line = got.find('\n')) {
+        json one = json::parse(got.substr(0, line), nullptr, false);
+        got.erase(0, line + 1);
+        if (one.is_object() && one.contains("re")) return one;
+      }
+    }
+    return json::object();
+  }
+  void agree(const std::string& service, std::uint64_t version, const std::string& digest) {
+    const auto [it, fresh] = digests_.try_emplace({service, version}, digest);
+    if (fresh || it->second == digest) return;
+    ++mixed_;
+    std::cerr << service << " " << version << " has two contents\n";
+  }
+  // Asks each gatekeeper what it has in force, again and again.
+  void watch() {
+    while (!ends_) {
+      for (std::size_t g = 0; g < kPlaces; ++g) {
+        const std::lock_guard lock(mutex_);
+        Place& p = places_[g];
+        if (!p.program) continue;
+        if (p.asked.descriptor() < 0) {
+          Socket s(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
+          const sockaddr_in address = loopback(p.control);
+          if (::connect(s.descriptor(), reinterpret_cast<const sockaddr*>(&address), sizeof address) != 0)
+            continue;
+          p.asked = std::move(s);
+        }
+        const json answer = exchange(p.asked.descriptor(), "{\"op\":\"configuration\",\"what\":\"held\"}\n");
+        if (!answer.contains("services")) {
+          p.asked = Socket();
+          continue;
+        }
+        take(g, p, answer);
+      }
+      std::this_thread::sleep_for(10ms);
+    }
+  }
+  void take(std::size_t g, Place& p, const json& answer) {
+    std::map<std::string, Held> all;
+    for (const json& one : answer["services"]) {
+      Held h;
+      h.version = one.value("version", std::uint64_t{0});
+      h.digest = one.value("digest", "");
+      if (one.contains("refused")) {
+        h.refused = one["refused"].value("version", std::uint64_t{0});
+        h.reason = one["refused"].value("reason", "");
+      }
+      const std::string service = one.value("service", "");
+      if (h.version != 0) agree(service, h.version, h.digest);
+      const auto before = p.view.services.find(service);
+      if (before != p.view.services.end() && h.version < before->second.version) {
+        ++back_;
+        std::cerr << "g" << g << " went back from " << before->second.version << " to " << h.version << "\n";
+      }
+      all[service] = std::move(h);
+    }
+    p.view.services = std::move(all);
+    const bool ready = answer.value("ready", false);
+    if (ready && !p.view.ready) p.view.at_ready = p.view.services;
+    p.view.ready = ready;
+    p.view.known = true;
+    ++p.view.answers;
+  }
+
+  ServerStandIn server_;
+  lab::JournalStandIn journal_;
+  std::string dir_;
+  std::array<Distributor, kDistributors> distributors_;
+  std::array<Place, kPlaces> places_;
+  std::unique_ptr<StreamRelay> relay_;
+  mutable std::mutex mutex_;
+  std::map<std::pair<std::string, std::uint64_t>, std::string> digests_;
+  std::uint64_t back_ = 0;
+  std::uint64_t mixed_ = 0;
+  unsigned calls_ = 0;
+  std::atomic<bool> ends_{false};
+  std::thread watcher_;
+};
+
+// Each content is another one.
+json change() {
+  static int serial = 0;
+  ++serial;
+  return {{"settings", {{"limits", {{"maxAttempts", 2 + serial % 4}}}, {"marks", {{"serial", serial}}}}}};
+}
+
+// ---- 1
+
+void two_publishers_at_once(Rig& rig) {
+  std::uint64_t crossed = 0;
+  std::uint64_t newest = 0;
+  for (std::size_t round = 0; round < 8; ++round) {
+    const json contents[] = {change(), change()};
+    std::unique_ptr<Ctl> both[] = {rig.publishing(round % 5, "all", contents[0]),
+                                   rig.publishing((round + 2) % 5, "all", contents[1])};
+    int status[] = {both[0]->finish(), both[1]->finish()};
+    std::uint64_t best = 0;
+    for (int i = 0; i < 2; ++i) {
+      const Ctl& one = *both[i];
+      CHECK(status[i] == 0 || status[i] == 1);
+      CHECK(one.answer().is_object());
+      if (one.version() == 0) {
+        CHECK_EQ(status[i], 1);
+        CHECK(one.answer().contains("trouble"));
+        continue;
+      }
+      rig.told("all", one.version(), one.digest());
+      CHECK(one.version() > newest);
+      best = std::max(best, one.version());
+      CHECK_EQ(status[i] == 0, one.answer()["all"] == true);
+    }
+    CHECK(best != 0);
+    CHECK(both[0]->version() != both[1]->version());
+    for (int i = 0; i < 2; ++i) {
+      if (both[i]->version() == best) CHECK_EQ(status[i], 0);
+      crossed += status[i] == 1 ? 1 : 0;
+    }
+    newest = best;
+    rig.all_hold("all", best);
+  }
+  took_hold("publications that met another one", crossed);
+}
+
+// ---- 2
+
+// The publisher commits, its word to the others is held back, and it is killed when only its own gatekeepers
+// have heard of it: they tell it on.
+void publisher_killed_after_half_were_told(Rig& rig) {
+  const std::uint64_t first = rig.publish_to_all(0, "all", change());
+  rig.relay().hold(Rig::peer_side(0), StreamRelay::back, true);
+  const std::uint64_t second = rig.publish(0, "all", change());
+  CHECK(second > first);
+  CHECK(until([&] { return rig.count_of("all", second) > 0; }));
+  const std::size_t have = rig.count_of("all", second);
+  rig.kill_distributor(0);
+  std::cout << "told before the publisher was killed: " << have << " of " << rig.running() << std::endl;
+  took_hold("gatekeepers that had not heard of it", rig.running() - have);
+  rig.relay().hold(Rig::peer_side(0), StreamRelay::back, false);
+  rig.all_hold("all", second);
+  const std::uint64_t third = rig.publish(1, "all", change());
+  CHECK(third > second);
+  rig.all_hold("all", third);
+  rig.start_distributor(0);
+  rig.votes(0);
+  CHECK(rig.publish_to_all(0, "all", change()) > third);
+}
+
+void command_killed_after_half_were_told(Rig& rig) {
+  const std::uint64_t first = rig.publish_to_all(1, "all", change());
+  for (std::size_t g = 0; g < 6; ++g) rig.hold(g, StreamRelay::back, true);
+  const auto one = rig.publishing(1, "all", change());
+  CHECK(until([&] { return rig.running() - rig.count_of("all", first) >= 6; }));
+  CHECK_EQ(rig.count_of("all", first), 6U);
+  CHECK(one->runs());
+  one->kill();
+  took_hold("commands killed", one->finish() == 1000 + SIGKILL ? 1 : 0);
+  for (std::size_t g = 0; g < 6; ++g) rig.hold(g, StreamRelay::back, false);
+  const std::uint64_t second = rig.held(6, "all").version;
+  CHECK(second > first);
+  rig.all_hold("all", second);
+  CHECK(rig.publish_to_all(2, "all", change()) > second);
+}
+
+// ---- 3
+
+// The distributors stand still while the gatekeeper's question goes to them; then the relay holds what it
+// tells, and they go on: it takes the document and can't say so.
+void killed_between_taking_and_telling(Rig& rig) {
+  constexpr std::size_t kVictim = 2;
+  const auto held_back = rig.relay().counts().held_back.load();
+  rig.hold(kVictim, StreamRelay::back, true);
+  const std::uint64_t version = rig.publish(3, "all", change());
+  CHECK(until([&] { return rig.count_of("all", version) == kGatekeepers - 1; }));
+  CHECK(until([&] { return rig.relay().counts().held_back > held_back; }));
+  std::this_thread::sleep_for(100ms);
+  const std::uint64_t fetches = rig.figure(kVictim, "fetches");
+  for (std::size_t d = 0; d < kDistributors; ++d) rig.signal_distributor(d, SIGSTOP);
+  rig.hold(kVictim, StreamRelay::back, false);
+  CHECK(until([&] { return rig.figure(kVictim, "fetches") > fetches; }));
+  std::this_thread::sleep_for(100ms);
+  rig.hold(kVictim, StreamRelay::there, true);
+  for (std::size_t d = 0; d < kDistributors; ++d) rig.signal_distributor(d, SIGCONT);
+  CHECK(until([&] { return rig.held(kVictim, "all").version == version; }));
+  const json status = rig.status_of("all");
+  const std::size_t untold = status.value("behind_all", 0U);
+  rig.kill(kVictim);
+  took_hold("gatekeepers killed that had taken it and not told", untold);
+  rig.hold(kVictim, StreamRelay::there, false);
+  const std::uint64_t newer = rig.publish(4, "all", change());
+  rig.start(kVictim);
+  CHECK(until([&] { return rig.view(kVictim).ready; }));
+  CHECK_EQ(rig.view(kVictim).at_ready["all"].version, newer);
+  CHECK(rig.program(kVictim).log().find("serves on its start configuration") == std::string::npos);
+  rig.serves(kVictim);
+  rig.all_hold("all", newer);
+  rig.publish_to_all(0, "all", change());
+}
+
+// ---- 4
+
+// Old and new process behind one listening socket; a change while the new one starts, and one while both run.
+void a_change_during_an_upgrade(Rig& rig) {
+  const Socket listener = Socket::bound(SOCK_STREAM);
+  rig.start(kUpgraded, listener.descriptor());
+  CHECK(until([&] { return rig.view(kUpgraded).ready; }));
+  rig.server().hold(true);
+  Socket first = Socket::connected(listener.port());
+  first.send(set_up("00000000000000a1", 9000));
+  CHECK(until([&] { return rig.server().waiting() == 1; }));
+  rig.start(kSuccessor, listener.descriptor(), kUpgraded);
+  const std::uint64_t version = rig.publish(2, "own-13", change());
+  CHECK(until([&] { return rig.view(kSuccessor).ready; }));
+  rig.all_hold("own-13", version);
+  rig.program(kUpgraded).signal(SIGTERM);
+  rig.program(kUpgraded).wait_for_log("was asked to stop");
+  Socket second = Socket::connected(listener.port());
+  second.send(set_up("00000000000000a2", 9000));
+  CHECK(until([&] { return rig.server().waiting() == 2; }));
+  const std::uint64_t newer = rig.publish(3, "own-13", change());
+  CHECK(newer > version);
+  CHECK(until([&] {
+    return rig.held(kUpgraded, "own-13").version == newer && rig.held(kSuccessor, "own-13").version == newer;
+  }));
+  took_hold("changes that both processes took", rig.count_of("own-13", newer) / 2);
+  rig.server().hold(false);
+  const char* const ids[] = {"00000000000000a1", "00000000000000a2"};
+  Socket* const callers[] = {&first, &second};
+  for (int i = 0; i < 2; ++i) {
+    const json answer = json::parse(callers[i]->line());
+    CHECK_EQ(answer["type"], "answer");
+    CHECK_EQ(answer["id"], ids[i]);
+    callers[i]->send(
+        json{{"type", "release"}, {"id", ids[i]}, {"fields", json::object()}, {"cause", 16}}.dump() + "\n");
+    CHECK_EQ(json::parse(callers[i]->line())["type"], "released");
+  }
+  CHECK_EQ(rig.program(kUpgraded).exit_status(), 0);
+  rig.kill(kUpgraded);
+  rig.all_hold("own-13", newer);
+  rig.publish_to_all(0, "own-13", change());
+}
+
+// ---- 5
+
+std::size_t count_in(const std::string& text, const std::string& what) {
+  std::size_t count = 0;
+  for (std::size_t p = text.find(what); p != std::string::npos; p = text.find(what, p + 1)) ++count;
+  return count;
+}
+
+void a_change_crossing_a_reload(Rig& rig) {
+  constexpr std::size_t kOne = 6;
+  const std::string kRead = "the configuration was read again";
+  const std::string kKept = "the old configuration is kept";
+  const std::size_t kept_before = count_in(rig.program(kOne).log(), kKept);
+  // Whose journal service it goes to tells what it goes by: the document's, else the file's.
+  const json hosts = json::parse(rig.config(kOne).dump())["known"]["entries"][0]["hosts"];
+  for (const bool reload_first : {true, false}) {
+    lab::JournalStandIn of_file(hosts);
+    lab::JournalStandIn of_document(hosts);
+    json file = rig.config(kOne);
+    file["journal"] = at(of_file.port());
+    const std::size_t read = count_in(rig.program(kOne).log(), kRead);
+    json content = change();
+    content["journal"] = at(of_document.port());
+    rig.hold(kOne, StreamRelay::back, true);
+    const std::uint64_t version = rig.publish(1, "own-6", content);
+    rig.program(kOne).configure(file.dump());
+    if (reload_first) {
+      rig.program(kOne).signal(SIGHUP);
+      rig.hold(kOne, StreamRelay::back, false);
+    } else {
+      rig.hold(kOne, StreamRelay::back, false);
+      rig.program(kOne).signal(SIGHUP);
+    }
+    rig.all_hold("own-6", version);
+    CHECK(until([&] { return count_in(rig.program(kOne).log(), kRead) == read + 1; }));
+    CHECK(until([&] { return of_document.connections() == 1; }));
+    // The document's journal goes away, and the new file's counts.
+    const std::uint64_t next = rig.publish(1, "own-6", change());
+    CHECK(next > version);
+    rig.all_hold("own-6", next);
+    CHECK(until([&] { return of_file.connections() == 1; }));
+    took_hold("changes that crossed a reload", count_in(rig.program(kOne).log(), kRead) - read);
+    rig.program(kOne).configure(rig.config(kOne).dump());
+    rig.program(kOne).signal(SIGHUP);
+    CHECK(until([&] { return count_in(rig.program(kOne).log(), kRead) == read + 2; }));
+    CHECK(until([&] { return of_file.connections() == 0; }));
+  }
+  // Of use by itself, and of none with the document over it.
+  json content = change();
+  content["settings"]["familyInfo"]["poolsByClass"] = {{0}, {0}};
+  const std::uint64_t version = rig.publish_to_all(2, "own-6", content);
+  const std::size_t read = count_in(rig.program(kOne).log(), kRead);
+  json file = rig.config(kOne);
+  one_class(file);
+  rig.program(kOne).configure(file.dump());
+  rig.program(kOne).signal(SIGHUP);
+  rig.program(kOne).wait_for_log("with the documents in force over it");
+  took_hold("files of no use over the documents", count_in(rig.program(kOne).log(), kKept) - kept_before);
+  const std::uint64_t answers = rig.view(kOne).answers;
+  CHECK(until([&] { return rig.view(kOne).answers > answers + 1; }));
+  CHECK_EQ(rig.held(kOne, "own-6").version, version);
+  rig.serves(kOne);
+  rig.program(kOne).configure(rig.config(kOne).dump());
+  rig.program(kOne).signal(SIGHUP);
+  CHECK(until([&] { return count_in(rig.program(kOne).log(), kRead) == read + 1; }));
+  rig.publish_to_all(2, "own-6", change());
+}
+
+// ---- 6
+
+void refused_by_all_and_by_some(Rig& rig) {
+  const std::uint64_t good = rig.publish_to_all(0, "all", change());
+  const std::size_t size = rig.running();
+  json bad = change();
+  bad["settings"]["classes"] = "none";  // no document of its own sets it again
+  const auto all = rig.publishing(0, "all", bad);
+  CHECK_EQ(all->finish(), 1);
+  const std::uint64_t refused = all->version();
+  CHECK(refused > good);
+  int exit_status = -1;
+  json status;
+  CHECK(until([&] {
+    status = rig.status_of("all", &exit_status);
+    return status.value("refused_all", 0U) == size;
+  }));
+  CHECK_EQ(exit_status, 1);
+  CHECK_EQ(status["version"], refused);
+  CHECK_EQ(status["in_force"], 0);
+  CHECK_EQ(status["refused"].size(), size);
+  for (const json& r : status["refused"])
+    CHECK(r["reason"].get<std::string>().find("settings.classes") != std::string::npos);
+  CHECK(until(
+      [&] { return rig.all_of([&](const View& v) { return v.services.at("all").refused == refused; }); }));
+  CHECK(rig.all_of([&](const View& v) { return v.services.at("all").version == good; }));
+  took_hold("refused by every gatekeeper", size);
+  rig.serves(0);
+
+  json two_classes = change();
+  two_classes["settings"]["familyInfo"]["poolsByClass"] = {{0}, {0}};
+  const auto some = rig.publishing(1, "all", two_classes);
+  CHECK_EQ(some->finish(), 1);
+  const std::uint64_t mixed = some->version();
+  CHECK(mixed > refused);
+  CHECK(until([&] {
+    status = rig.status_of("all", &exit_status);
+    return status.value("refused_all", 0U) == 2 && status.value("in_force", 0U) == size - 2;
+  }));
+  CHECK_EQ(exit_status, 1);
+  std::set<std::string> names;
+  for (const json& r : status["refused"]) {
+    names.insert(r["name"].get<std::string>());
+    CHECK(r["reason"].get<std::string>().find("poolsByClass") != std::string::npos);
+  }
+  CHECK(names == (std::set<std::string>{"g10", "g11"}));
+  CHECK(until([&] { return rig.count_of("all", mixed) == size - 2; }));
+  for (const std::size_t g : {kOdd, kOdd + 1}) {
+    CHECK_EQ(rig.held(g, "all").version, good);
+    CHECK_EQ(rig.held(g, "all").refused, mixed);
+  }
+  took_hold("refused by some", names.size());
+  CHECK(rig.publish_to_all(2, "all", change()) > mixed);
+  rig.status_of("all", &exit_status);
+  CHECK_EQ(exit_status, 0);
+  // What the command itself turns down, and nobody there.
+  Ctl wrong({"config", "publish", "all", "--json-text", R"({"listen":"127.0.0.1:1"})", "--to", rig.to(0)});
+  CHECK_EQ(wrong.finish(), 2);
+  const Socket silent(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));  // bound, and nobody listens
+  const sockaddr_in address = loopback(0);
+  CHECK(::bind(silent.descriptor(), reinterpret_cast<const sockaddr*>(&address), sizeof address) == 0);
+  Ctl nobody({"config", "publish", "all", "--json-text", change().dump(), "--to", at(silent.port())});
+  CHECK_EQ(nobody.finish(), 3);
+}
+
+// ---- 8
+
+// What it had sent waits in the relay; it is stopped, the others go on, and it wakes with old news.
+void a_distributor_stopped_over_a_publication(Rig& rig) {
+  constexpr std::size_t kVictim = 3;
+  const std::uint64_t stale = rig.figure_of_all("stale");
+  for (std::size_t g = 0; g < kGatekeepers; ++g)
+    rig.relay().hold(Rig::side(g, kVictim), StreamRelay::back, true);
+  const std::uint64_t old = rig.publish(0, "all", change());
+  CHECK(until([&] { return rig.count_of("all", old) == rig.running(); }));
+  std::this_thread::sleep_for(100ms);
+  rig.signal_distributor(kVictim, SIGSTOP);
+  const std::uint64_t newer = rig.publish(1, "all", change());
+  CHECK(newer > old);
+  rig.all_hold("all", newer);
+  rig.signal_distributor(kVictim, SIGCONT);
+  for (std::size_t g = 0; g < kGatekeepers; ++g)
+    rig.relay().hold(Rig::side(g, kVictim), StreamRelay::back, false);
+  CHECK(until([&] { return rig.figure_of_all("stale") > stale; }));
+  took_hold("old news refused", rig.figure_of_all("stale") - stale);
+  CHECK_EQ(rig.count_of("all", newer), rig.running());
+  rig.votes(kVictim);
+  CHECK(rig.publish_to_all(kVictim, "all", change()) > newer);
+}
+
+// ---- 9
+
+void cut_off_and_healed(Rig& rig) {
+  const std::vector<std::size_t> cut = {3, 4, 5};
+  const std::uint64_t before = rig.publish_to_all(0, "all", change());
+  std::map<std::size_t, std::uint64_t> taken;
+  for (const std::size_t g : cut) taken[g] = rig.figure(g, "in_force");
+  const auto bytes = rig.relay().counts().cut.load();
+  for (const std::size_t g : cut) rig.cut(g, true);
+  std::uint64_t newest = 0;
+  for (std::size_t i = 0; i < 10; ++i) {
+    newest = rig.publish(i % kDistributors, "all", change());
+    rig.serves(cut[i % cut.size()]);
+  }
+  CHECK(until([&] { return rig.count_of("all", newest) == rig.running() - cut.size(); }));
+  CHECK_EQ(rig.count_of("all", before), cut.size());
+  CHECK(until([&] { return rig.relay().counts().cut > bytes; }));
+  took_hold("bytes that the cut took", rig.relay().counts().cut - bytes);
+  for (const std::size_t g : cut) rig.cut(g, false);
+  rig.all_hold("all", newest);
+  for (const std::size_t g : cut) CHECK_EQ(rig.figure(g, "in_force") - taken[g], 1U);
+  rig.publish_to_all(1, "all", change());
+}
+
+// ---- 10
+
+void a_start_with_no_distributor_reachable(Rig& rig) {
+  const std::uint64_t version = rig.publish_to_all(0, "all", change());
+  const auto cut_off = rig.relay().counts().cut_off.load();
+  rig.cut(kLate, true);
+  rig.start(kLate);
+  CHECK(until([&] { return rig.view(kLate).ready; }));
+  CHECK_EQ(rig.view(kLate).at_ready["all"].version, 0U);
+  rig.program(kLate).wait_for_log("within 2000 ms: it serves on its start configuration");
+  rig.serves(kLate);
+  CHECK_EQ(rig.held(kLate, "all").version, 0U);
+  took_hold("connections cut at the start", rig.relay().counts().cut_off - cut_off);
+  rig.cut(kLate, false);
+  rig.all_hold("all", version);
+  rig.publish_to_all(1, "all", change());
+}
+
+// ---- 11
+
+std::uint64_t resident_kib(int pid) {
+  std::ifstream file("/proc/" + std::to_string(pid) + "/status");
+  for (std::string line; std::getline(file, line);) {
+    if (line.starts_with("VmRSS:")) return std::stoull(line.substr(6));
+  }
+  return 0;
+}
+
+// It subscribes everywhere and reads nothing, while documents of 10 KB are published.
+void one_that_never_reads(Rig& rig) {
+  rig.publish_to_all(0, "all", change());
+  std::vector<Socket> deaf;
+  for (std::size_t d = 0; d < kDistributors; ++d) {
+    deaf.push_back(Socket::connected(rig.distributor_port(d)));
+    json line = {{"op", "subscribe"}, {"name", "deaf"}, {"primary", false}};
+    line["held"] = json::array({json{{"service", "all"}}, json{{"service", "own-1"}}});
+    deaf.back().send(line.dump() + "\n");
+    // It asks for what it will not read, too.
+    for (int i = 0; i < 20; ++i)
+      deaf.back().send(
+          json{{"op", "fetch"}, {"service", "all"}, {"version", rig.held(0, "all").version}}.dump() + "\n");
+  }
+  std::vector<std::uint64_t> memory;
+  for (std::size_t d = 0; d < kDistributors; ++d) memory.push_back(resident_kib(rig.distributor_pid(d)));
+  constexpr std::size_t kChanges = 40;
+  std::uint64_t newest = 0;
+  for (std::size_t i = 0; i < kChanges; ++i) {
+    json content = change();
+    content["settings"]["marks"]["pad"] = std::string(10'000, 'x');
+    const json answer =
+        rig.ask(i % kDistributors,
+                {{"op", "config"}, {"what", "publish"}, {"service", "all"}, {"content", content.dump()}});
+    if (!answer.value("ok", false)) std::cerr << answer.dump() << "\n";
+    CHECK(answer.value("ok", false));
+    CHECK(answer["version"] > newest);
+    newest = answer["version"];
+    for (const Socket& s : deaf) {
+      const std::string fetch = json{{"op", "fetch"}, {"service", "all"}, {"version", newest}}.dump() + "\n";
+      ::send(s.descriptor(), fetch.data(), fetch.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
+    }
+  }
+  rig.all_hold("all", newest);
+  std::uint64_t unread = 0;
+  for (std::size_t d = 0; d < kDistributors; ++d) {
+    int waits = 0;
+    CHECK(::ioctl(deaf[d].descriptor(), FIONREAD, &waits) == 0);
+    unread += waits > 0 ? 1 : 0;
+    // One notice, and of documents no more than what it asked for.
+    std::string got;
+    for (std::string more = deaf[d].some(65536); !more.empty(); more = deaf[d].some(65536)) got += more;
+    CHECK(count_in(got, R"("event":"notices")") <= 2);
+    const std::uint64_t after = resident_kib(rig.distributor_pid(d));
+    std::cout << "d" << d << ": " << count_in(got, R"("event":"notices")") << " notices, " << got.size()
+              << " bytes unread, " << memory[d] << " to " << after << " KiB" << std::endl;
+    CHECK(after < memory[d] + 128 * 1024);
+  }
+  took_hold("connections of one that never reads", unread);
+  deaf.clear();
+  CHECK(rig.publish(0, "all", change()) > newest);
+}
+
+// ---- 7
+
+// One of them, and then all at once, while the gatekeepers go on.
+void distributors_from_nothing(Rig& rig) {
+  std::uint64_t newest = rig.publish(0, "all", change());
+  rig.all_hold("all", newest);
+  rig.kill_distributor(4);
+  rig.forget_files(4);
+  rig.start_distributor(4);
+  for (std::size_t i = 0; i < 3; ++i) {
+    const std::uint64_t next = rig.publish(i, "all", change());
+    CHECK(next > newest);
+    newest = next;
+  }
+  CHECK(until([&] {
+    return rig.ask(4, {{"op", "config"}, {"what", "status"}}).value("standing", "") == "voting";
+  }));
+  std::uint64_t next = rig.publish(4, "all", change());
+  CHECK(next > newest);
+  rig.all_hold("all", next);
+  newest = next;
+  std::uint64_t restarted = 1;
+  for (std::size_t d = 0; d < kDistributors; ++d) rig.kill_distributor(d);
+  for (std::size_t d = 0; d < kDistributors; ++d, ++restarted) {
+    rig.forget_files(d);
+    rig.start_distributor(d);
+  }
+  for (std::size_t d = 0; d < kDistributors; ++d) rig.votes(d);
+  took_hold("distributors restarted from nothing", restarted);
+  // What all forgot is taken back from those that have it in force, before anything is published.
+  CHECK(until([&] {
+    const json status = rig.status_of("all");
+    return status.value("version", std::uint64_t{0}) == newest &&
+           status.value("in_force", 0U) == rig.running();
+  }));
+  took_hold("documents taken back from gatekeepers", rig.counted_at_all("distributor.learned_back"));
+  next = rig.publish(1, "all", change());
+  CHECK(next > newest);
+  rig.all_hold("all", next);
+  CHECK(rig.publish_to_all(2, "all", change()) > next);
+}
+
+struct Case {
+  const char* name;
+  void (*run)(Rig&);
+};
+constexpr Case kCases[] = {
+    {"two_publishers_at_once", two_publishers_at_once},
+    {"publisher_killed_after_half_were_told", publisher_killed_after_half_were_told},
+    {"command_killed_after_half_were_told", command_killed_after_half_were_told},
+    {"killed_between_taking_and_telling", killed_between_taking_and_telling},
+    {"a_change_crossing_a_reload", a_change_crossing_a_reload},
+    {"refused_by_all_and_by_some", refused_by_all_and_by_some},
+    {"a_distributor_stopped_over_a_publication", a_distributor_stopped_over_a_publication},
+    {"cut_off_and_healed", cut_off_and_healed},
+    {"a_start_with_no_distributor_reachable", a_start_with_no_distributor_reachable},
+    {"a_change_during_an_upgrade", a_change_during_an_upgrade},
+    {"one_that_never_reads", one_that_never_reads},
+    {"distributors_from_nothing", distributors_from_nothing},
+};
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  CHECK(argc >= 4);
+  gatekeeper = argv[1];
+  ctl = argv[2];
+  distributor = argv[3];
+  const std::string only = argc > 4 ? argv[4] : "";
+  std::signal(SIGPIPE, SIG_IGN);
+  ::alarm(110);  // all programs that it started end with it
+  const auto began = Steady::now();
+  const auto ms = [&] {
+    return std::chrono::duration_cast<std::chrono::milliseconds>(Steady::now() - began).count();
+  };
+  Rig rig;
+  std::cout << "up after " << ms() << " ms" << std::endl;
+  for (const Case& one : kCases) {
+    if (!only.empty() && only != one.name) continue;
+    one.run(rig);
+    rig.record_is_sound();
+    std::cout << one.name << ": passed, at " << ms() << " ms" << std::endl;
+  }
+}
