Test that a gatekeeper is not ready before it has what is in force, as its operators see it

The test read 'ready' from the list of what is held, which readyz could contradict. It now asks readyz while the distributors' word is held back, and what is held at once after the first OK. Tried with readiness that doesn't wait, and with no check of older numbers: each failed its case.

--- a/tests/configuration_process_test.cpp
+++ b/tests/configuration_process_test.cpp
@@ -445,6 +445,20 @@
     for (std::size_t g = 0; g < kGatekeepers; ++g) sum += figure(g, name);
     return sum;
   }
+  std::string readiness(std::size_t g) const {
+    Socket s = Socket::connected(places_[g].management);
+    s.send("readyz\n");
+    return s.line();
+  }
+  // Asked at this moment.
+  std::uint64_t held_now(std::size_t g, const std::string& service) const {
+    Socket s(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
+    const json answer = ask_at(s, places_[g].control, {{"op", "configuration"}, {"what", "held"}});
+    for (const json& one : answer.value("services", json::array())) {
+      if (one.value("service", "") == service) return one.value("version", std::uint64_t{0});
+    }
+    return 0;
+  }
   // A call there is answered, and ends.
   void serves(std::size_t g) {
     Socket caller = Socket::connected(places_[g].listen);
@@ -709,7 +723,13 @@
   took_hold("gatekeepers killed that had taken it and not told", untold);
   rig.hold(kVictim, StreamRelay::there, false);
   const std::uint64_t newer = rig.publish(4, "all", change());
+  rig.hold(kVictim, StreamRelay::back, true);
   rig.start(kVictim);
+  took_hold("starts not ready before they were told",
+            rig.readiness(kVictim).find("the configuration in force is not told yet") != std::string::npos);
+  rig.hold(kVictim, StreamRelay::back, false);
+  CHECK(until([&] { return rig.readiness(kVictim).starts_with("OK"); }));
+  CHECK_EQ(rig.held_now(kVictim, "all"), newer);
   CHECK(until([&] { return rig.view(kVictim).ready; }));
   CHECK_EQ(rig.view(kVictim).at_ready["all"].version, newer);
   CHECK(rig.program(kVictim).log().find("serves on its start configuration") == std::string::npos);
@@ -950,6 +970,7 @@
   const auto cut_off = rig.relay().counts().cut_off.load();
   rig.cut(kLate, true);
   rig.start(kLate);
+  CHECK(until([&] { return rig.readiness(kLate).starts_with("OK"); }));
   CHECK(until([&] { return rig.view(kLate).ready; }));
   CHECK_EQ(rig.view(kLate).at_ready["all"].version, 0U);
   rig.program(kLate).wait_for_log("within 2000 ms: it serves on its start configuration");
