--- a/lab/config_rig.cpp
+++ b/lab/config_rig.cpp
@@ -87,7 +87,10 @@
   epoll_event e{EPOLLIN, {.fd = listener_}};
   ::epoll_ctl(epoll, EPOLL_CTL_ADD, listener_, &e);
   std::set<int> open;
+  // Taken out first: a child that has been forked and not begun keeps the connection alive, epoll went on
+  // telling of its number, and whoever had that number by then lost his socket.
   const auto end = [&](int fd) {
+    ::epoll_ctl(epoll, EPOLL_CTL_DEL, fd, nullptr);
     ::close(fd);
     open.erase(fd);
     connections_ = open.size();
