--- a/src/cli/distributor.cpp
+++ b/src/cli/distributor.cpp
@@ -12,6 +12,7 @@
 
 #include "control/config_distributor.h"
 #include "fleet/datagram.h"
+#include "net/counted.h"
 #include "net/runtime.h"
 
 namespace {
@@ -55,15 +56,6 @@
   return static_cast<std::size_t>(limit.rlim_cur);
 }
 
-void add_runtime(const net::RuntimeCounters& c, Counters& all) {
-  all.add("net.bytes_in", c.bytes_in);
-  all.add("net.bytes_out", c.bytes_out);
-  all.add("net.accepted", c.accepted);
-  all.add("net.held_at_the_door", c.held_at_the_door);
-  all.add("net.no_descriptor", c.no_descriptor);
-  all.add("net.overflowed", c.overflowed);
-}
-
 int run(int argc, char** argv) {
   control::ConfigDistributorSettings s;
   std::string advertise;
@@ -117,7 +109,7 @@
                                     std::to_string(needed) + " descriptors of " + std::to_string(had));
   net::Runtime runtime(limits, logger);
   control::ConfigDistributor distributor(std::move(s),
-                                         [&runtime](Counters& c) { add_runtime(runtime.counters(), c); });
+                                         [&runtime](Counters& c) { net::add_to(c, runtime.counters()); });
   return runtime.run([&distributor](Time now, const net::Event& event, net::Effects& effects) {
     distributor.step(now, event, effects);
   });
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -11,6 +11,7 @@
 
 #include "app/gatekeeper.h"
 #include "config/descriptors.h"
+#include "net/counted.h"
 #include "net/runtime.h"
 #include "proto/number.h"
 
@@ -99,23 +100,7 @@
   net::RuntimeLimits limits;
   limits.connections = descriptor_shares(config.sockets).accepted;
   net::Runtime runtime(limits, net::Logger(level_from(variable("GRANITERUN_LOG"))));
-  Gatekeeper gatekeeper(config, deploy, [&runtime](Counters& all) {
-    const net::RuntimeCounters& c = runtime.counters();
-    all.add("net.bytes_in", c.bytes_in);
-    all.add("net.bytes_out", c.bytes_out);
-    all.add("net.accepted", c.accepted);
-    all.add("net.turned_away", c.turned_away);
-    all.add("net.held_at_the_door", c.held_at_the_door);
-    all.add("net.no_descriptor", c.no_descriptor);
-    all.add("net.recalled", c.recalled);
-    all.add("net.overflowed", c.overflowed);
-    all.add("net.counted_written", c.counted_written);
-    all.add("net.timers", c.timers);
-    all.add("net.timers_over_5ms_late", c.timers_late_5ms);
-    all.add("net.timers_over_20ms_late", c.timers_late_20ms);
-    const auto latest = std::chrono::duration_cast<std::chrono::microseconds>(c.latest_timer);
-    all.add("net.latest_timer_us", static_cast<std::uint64_t>(latest.count()));
-  });
+  Gatekeeper gatekeeper(config, deploy, [&runtime](Counters& all) { net::add_to(all, runtime.counters()); });
   return runtime.run([&gatekeeper](Time now, const net::Event& event, net::Effects& effects) {
     gatekeeper.step(now, event, effects);
   });
