Write the tests' whole configuration file once

Seen on a second reading: configuration_test and retune_test held the same file, line for line. It stands in tests/settings.h now; no assertion changed.

--- a/tests/configuration_test.cpp
+++ b/tests/configuration_test.cpp
@@ -17,27 +17,6 @@
 constexpr ConnId kCaller{Concern::platform, 1};
 constexpr ConnId kDesk{Concern::control, 1};
 
-json file() {
-  const auto target = [](int i) {
-    return json{{"uid", "s" + std::to_string(i)},
-                {"endpoint", "127.0.0.1:" + std::to_string(9000 + i)},
-                {"az", "west"},
-                {"pod_group", 0},
-                {"state", "ready"},
-                {"capacity_hint", 4},
-                {"boot_ms", 0}};
-  };
-  const json hosts = {{"rev", 1}, {"all", true}, {"targets", {target(0), target(1)}}};
-  return {{"name", "t0"},
-          {"listen", "127.0.0.1:1"},
-          {"seed", "8c1f30d27a5be964"},
-          {"limits", {{"cores", 1.0}, {"memory_mb", 192}, {"sockets", 1024}}},
-          {"journal", "127.0.0.1:8500"},
-          {"management", "127.0.0.1:9901"},
-          {"known", {{"pos", 3}, {"entries", {{{"pos", 3}, {"hosts", hosts}}}}}},
-          {"settings", settings()}};
-}
-
 Key key_for_tests() {
   Key key{};
   key.fill(7);
@@ -91,7 +70,7 @@
 // A gatekeeper, and what its distributors are made to say. They all hold the same.
 struct Fleet : Lab {
   explicit Fleet(const DeployConfig& deploy = distributed(),
-                 const PlatformConfig& config = read_platform_config(file().dump()))
+                 const PlatformConfig& config = read_platform_config(file_with_two_servers().dump()))
       : Lab(config, deploy) {}
 
   // All connections that were asked for come up.
@@ -239,7 +218,7 @@
 // ---- off
 
 void without_the_key_nothing_is_done() {
-  Gatekeeper off(read_platform_config(file().dump()), {}, {});
+  Gatekeeper off(read_platform_config(file_with_two_servers().dump()), {}, {});
   net::Effects effects;
   Time now{1'000'000s};
   off.step(now, net::Started{}, effects);
@@ -263,7 +242,7 @@
   DeployConfig deploy;
   deploy.control.emplace();
   deploy.control->listen = "127.0.0.1:7400";
-  Lab lab(read_platform_config(file().dump()), deploy);
+  Lab lab(read_platform_config(file_with_two_servers().dump()), deploy);
   lab.bring_up();
   CHECK_EQ(lab.figure("config_sources_up"), "none");
   CHECK_EQ(lab.figure("config_distribution_connects"), "none");
@@ -276,7 +255,7 @@
 // ---- the start
 
 void it_is_ready_when_it_has_what_is_in_force() {
-  Fleet lab(distributed(), inherited(read_platform_config(file().dump())));
+  Fleet lab(distributed(), inherited(read_platform_config(file_with_two_servers().dump())));
   lab.documents["calls"] = document("calls", 41, journal_at(8600));
   const auto listens = [&lab] {
     return std::any_of(lab.listens.begin(), lab.listens.end(),
@@ -442,7 +421,7 @@
 void a_file_and_a_document_hold_together() {
   Served lab;
   lab.published(document("calls", 1, classes_with({"extra"})));
-  json other = file();
+  json other = file_with_two_servers();
   other["journal"] = "127.0.0.1:8700";
   lab.load(other);
   lab.run(200ms);
@@ -468,7 +447,7 @@
 // The file was asked for before the document came, and is read after it.
 void a_change_crosses_a_reload_on_its_way() {
   Served lab;
-  json other = file();
+  json other = file_with_two_servers();
   other["journal"] = "127.0.0.1:8700";
   lab.tell(net::ReloadAsked{});
   lab.published(document("calls", 1, classes_with({"extra"})));
@@ -498,7 +477,7 @@
   lab.published(document("calls", 1, patch));
   CHECK_EQ(lab.in_force("calls"), 0U);
   CHECK(!lab.reported("calls", 1)->in_force);
-  json other = file();
+  json other = file_with_two_servers();
   other["settings"].merge_patch(classes_with({"third"})["settings"]);
   lab.load(other);
   lab.run(300ms);
@@ -514,7 +493,7 @@
   Served lab;
   lab.published(document("calls", 1, classes_with({"extra"})));
   // Good by itself: with classes of its own, whose keys the document's classes lack.
-  json other = file();
+  json other = file_with_two_servers();
   other["journal"] = "127.0.0.1:8700";
   for (json& one : other["settings"]["classes"]) one["colour"] = "red";
   lab.load(other);
@@ -527,7 +506,7 @@
   CHECK(lab.takes("extra"));
   CHECK_EQ(lab.in_force("calls"), 1U);
   // One that would do over the documents, and not by itself: the next start would have it alone.
-  json half = file();
+  json half = file_with_two_servers();
   half["journal"] = "127.0.0.1:8701";
   half["settings"]["classes"] = json::array();
   lab.load(half);
@@ -547,7 +526,7 @@
 // ---- upgrades
 
 void a_change_during_an_upgrade_comes_to_both() {
-  const PlatformConfig config = inherited(read_platform_config(file().dump()));
+  const PlatformConfig config = inherited(read_platform_config(file_with_two_servers().dump()));
   Fleet old(distributed(), config);
   old.documents["calls"] = document("calls", 1, classes_with({"extra"}));
   old.run(500ms);
@@ -842,12 +821,12 @@
 // ---- documents over a file
 
 void documents_lie_over_each_other_in_their_order() {
-  const std::string base = file().dump();
-  CHECK_EQ(json::parse(laid_over(base, {})), file());
+  const std::string base = file_with_two_servers().dump();
+  CHECK_EQ(json::parse(laid_over(base, {})), file_with_two_servers());
   const auto laid = [&base](const std::vector<Document>& all) { return json::parse(laid_over(base, all)); };
   const json both = laid({document("a", 1, {{"journal", "127.0.0.1:1"}, {"settings", {{"me", 2}}}}),
                           document("b", 1, {{"journal", "127.0.0.1:2"}})});
-  json expected = file();
+  json expected = file_with_two_servers();
   expected["journal"] = "127.0.0.1:2";
   expected["settings"]["me"] = 2;
   CHECK_EQ(both, expected);
@@ -870,7 +849,7 @@
 }
 
 void documents_have_bounds() {
-  const std::string base = file().dump();
+  const std::string base = file_with_two_servers().dump();
   const auto trouble = [&base](const std::string& content) {
     return trouble_of([&] { laid_over(base, {Document{"a", {4, {}}, content}}); });
   };
--- a/tests/retune_test.cpp
+++ b/tests/retune_test.cpp
@@ -13,27 +13,6 @@
 
 constexpr ConnId kCaller{Concern::platform, 1};
 
-json file() {
-  const auto target = [](int i) {
-    return json{{"uid", "s" + std::to_string(i)},
-                {"endpoint", "127.0.0.1:" + std::to_string(9000 + i)},
-                {"az", "west"},
-                {"pod_group", 0},
-                {"state", "ready"},
-                {"capacity_hint", 4},
-                {"boot_ms", 0}};
-  };
-  const json hosts = {{"rev", 1}, {"all", true}, {"targets", {target(0), target(1)}}};
-  return {{"name", "t0"},
-          {"listen", "127.0.0.1:1"},
-          {"seed", "8c1f30d27a5be964"},
-          {"limits", {{"cores", 1.0}, {"memory_mb", 192}, {"sockets", 1024}}},
-          {"journal", "127.0.0.1:8500"},
-          {"management", "127.0.0.1:9901"},
-          {"known", {{"pos", 3}, {"entries", {{{"pos", 3}, {"hosts", hosts}}}}}},
-          {"settings", settings()}};
-}
-
 json with_class(json f, const std::string& name) {
   json& s = f["settings"];
   s["classes"].push_back(s["classes"][0]);
@@ -44,7 +23,7 @@
 }
 
 struct Reload : Lab {
-  Reload() : Lab(read_platform_config(file().dump())) {
+  Reload() : Lab(read_platform_config(file_with_two_servers().dump())) {
     bring_up();
     tell(net::Accepted{kCaller});
   }
@@ -81,7 +60,7 @@
 
 void what_is_broken_is_turned_down_whole() {
   Reload lab;
-  json other = with_class(file(), "extra");
+  json other = with_class(file_with_two_servers(), "extra");
   other["journal"] = "127.0.0.1:8600";
   const std::string good = other.dump();
   std::vector<std::string> broken = {"", "  \n", "{}", "[]", "null", "\xff\xfe"};
@@ -140,7 +119,7 @@
 }
 
 void a_number_may_be_written_as_one_likes() {
-  json f = file();
+  json f = file_with_two_servers();
   f["settings"]["classes"][0]["hardLimitNs"] = 3e9;
   f["settings"]["limits"]["maxAttempts"] = 2.0;
   const PlatformConfig c = read_platform_config(f.dump());
@@ -160,7 +139,7 @@
   };
   CHECK_EQ(trouble(""), "the configuration is empty");
   CHECK(trouble("{\n\"name\": \"t0\",\n\"listen\"").find("line 3") != std::string::npos);
-  json f = file();
+  json f = file_with_two_servers();
   f["settings"]["classes"][1]["hardLimitNs"] = "soon";
   CHECK_EQ(trouble(f.dump()), "'class safety: hardLimitNs' is \"soon\", not a number above 0");
 }
@@ -171,7 +150,7 @@
   const sip::Message invite = lab.sent_on();
   const ConnId first_server = lab.server;
   // 'voice' goes, 'safety' moves to its place with other terms, and a call may be tried once only.
-  json f = file();
+  json f = file_with_two_servers();
   json& s = f["settings"];
   s["classes"].erase(0);
   s["classes"][0]["promiseNs"] = 700000000;
@@ -201,7 +180,7 @@
 void ten_reloads_in_a_second_the_last_one_broken() {
   Reload lab;
   for (int i = 0; i < 9; ++i) {
-    lab.load(with_class(file(), "c" + std::to_string(i)).dump());
+    lab.load(with_class(file_with_two_servers(), "c" + std::to_string(i)).dump());
     CHECK(lab.call("000000000000000" + std::to_string(i), "c" + std::to_string(i)).empty());
     lab.pass(100ms);
   }
--- a/tests/settings.h
+++ b/tests/settings.h
@@ -52,4 +52,26 @@
           {"roundNs", 5000000}};
 }
 
+// A gatekeeper's whole configuration file: two setup servers in its list, a journal service, management.
+inline nlohmann::json file_with_two_servers() {
+  const auto target = [](int i) {
+    return nlohmann::json{{"uid", "s" + std::to_string(i)},
+                          {"endpoint", "127.0.0.1:" + std::to_string(9000 + i)},
+                          {"az", "west"},
+                          {"pod_group", 0},
+                          {"state", "ready"},
+                          {"capacity_hint", 4},
+                          {"boot_ms", 0}};
+  };
+  const nlohmann::json hosts = {{"rev", 1}, {"all", true}, {"targets", {target(0), target(1)}}};
+  return {{"name", "t0"},
+          {"listen", "127.0.0.1:1"},
+          {"seed", "8c1f30d27a5be964"},
+          {"limits", {{"cores", 1.0}, {"memory_mb", 192}, {"sockets", 1024}}},
+          {"journal", "127.0.0.1:8500"},
+          {"management", "127.0.0.1:9901"},
+          {"known", {{"pos", 3}, {"entries", {{{"pos", 3}, {"hosts", hosts}}}}}},
+          {"settings", settings()}};
+}
+
 }  // namespace graniterun::test
