--- /dev/null
+++ b/lab/call_testbed.cpp
@@ -0,0 +1,496 @@
+#include "call_testbed.h"
+
+#include <algorithm>
+#include <sstream>
+
+#include "settings.h"
+
+namespace graniterun::lab {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr Clock::duration kNotificationInterval = 1s;
+constexpr Clock::duration kDiscoveryCommentInterval = 1s;
+constexpr Clock::duration kReadyTimeout = 10s;
+// The protocol's limits for the release of a call that is over, and its slack on sockets.
+constexpr Clock::duration kReleaseLimit = 1s;
+constexpr Clock::duration kUnsentReleaseLimit = 8s;
+constexpr Clock::duration kSocketSlack = 50ms;
+constexpr int kListenBacklog = 128;
+
+std::string address_of(int port) { return "127.0.0.1:" + std::to_string(port); }
+
+test::Socket listening_socket(int port) {
+  test::Socket socket(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0));
+  const int on = 1;
+  ::setsockopt(socket.descriptor(), SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+  const sockaddr_in address = test::loopback(port);
+  CHECK(::bind(socket.descriptor(), reinterpret_cast<const sockaddr*>(&address), sizeof address) == 0);
+  CHECK(::listen(socket.descriptor(), kListenBacklog) == 0);
+  return socket;
+}
+
+// Accepts without waiting; a socket without descriptor if there is none.
+test::Socket accept_available(const test::Socket& listener) {
+  return test::Socket(::accept4(listener.descriptor(), nullptr, nullptr, SOCK_CLOEXEC));
+}
+
+std::string bye_for(const std::string& id, const std::string& number, int cause) {
+  return "BYE sip:" + number + "@net SIP/2.0\r\nVia: SIP/2.0/TCP peer\r\nCall-ID: " + id +
+         "\r\nCSeq: 9 BYE\r\nReason: Q.850;cause=" + std::to_string(cause) + "\r\nContent-Length: 0\r\n\r\n";
+}
+
+}  // namespace
+
+// ---- StreamPeer
+
+StreamPeer::StreamPeer(test::Socket socket) : socket_(std::move(socket)) {
+  ::fcntl(socket_.descriptor(), F_SETFL, ::fcntl(socket_.descriptor(), F_GETFL) | O_NONBLOCK);
+}
+
+void StreamPeer::read_available() {
+  char buffer[16384];
+  while (open()) {
+    const ssize_t got = ::recv(socket_.descriptor(), buffer, sizeof buffer, MSG_DONTWAIT);
+    if (got > 0) {
+      input.append(buffer, static_cast<std::size_t>(got));
+      continue;
+    }
+    if (got == 0 || (errno != EAGAIN && errno != EINTR)) close();
+    return;
+  }
+}
+
+void StreamPeer::write(const std::string& bytes) {
+  if (open())
+    static_cast<void>(::send(socket_.descriptor(), bytes.data(), bytes.size(), MSG_NOSIGNAL | MSG_DONTWAIT));
+}
+
+void StreamPeer::close() { socket_ = test::Socket(); }
+
+void StreamPeer::reset() {
+  const linger at_once{1, 0};
+  if (open()) ::setsockopt(socket_.descriptor(), SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once);
+  close();
+}
+
+// ---- StandInServer
+
+StandInServer::StandInServer(CallTestbed& testbed, std::string uid, int port)
+    : testbed_(testbed), uid_(std::move(uid)), port_(port) {
+  listen();
+}
+
+void StandInServer::listen() {
+  listener_ = listening_socket(port_);
+  port_ = listener_.port();
+}
+
+std::size_t StandInServer::open_connections() const {
+  return static_cast<std::size_t>(std::count_if(connections_.begin(), connections_.end(),
+                                                [](const auto& entry) { return entry.second.peer->open(); }));
+}
+
+void StandInServer::accept() {
+  for (test::Socket socket = accept_available(listener_); socket.descriptor() >= 0;
+       socket = accept_available(listener_)) {
+    Connection& connection = connections_[++last_connection_];
+    connection.peer = std::make_unique<StreamPeer>(std::move(socket));
+    for (const std::string& bye : std::exchange(byes_to_repeat_, {})) connection.peer->write(bye);
+  }
+}
+
+void StandInServer::serve() {
+  if (frozen_) return;
+  const TimePoint now = Clock::now();
+  if (listener_.descriptor() >= 0) accept();
+  for (auto& [number, connection] : connections_) {
+    if (connection.peer->open() && now >= connection.next_notification) {
+      connection.next_notification = now + kNotificationInterval;
+      connection.peer->write(
+          "NOTIFY sip:x@net SIP/2.0\r\nCall-ID: n\r\nP-Load: x0:30;x1:40\r\nContent-Length: 0\r\n\r\n");
+    }
+    connection.peer->read_available();
+    while (true) {
+      const sip::ReadResult read = sip::read_stream(connection.peer->input);
+      if (read.state == sip::ReadState::more) break;
+      CHECK(read.state == sip::ReadState::message);
+      const sip::Message message = read.message;
+      connection.peer->input.erase(0, read.used);
+      handle_message(number, message);
+    }
+  }
+  // A closed connection gives up the setups that are open on it.
+  std::erase_if(connections_, [this](const auto& entry) {
+    if (entry.second.peer->open()) return false;
+    std::erase_if(unanswered_, [&](const auto& call) { return call.second.connection == entry.first; });
+    return true;
+  });
+  std::vector<std::string> over;
+  for (const auto& [id, call] : established_) {
+    if (call.ends_at && now >= *call.ends_at) over.push_back(id);
+  }
+  for (const std::string& id : over) end_call(id);
+}
+
+void StandInServer::handle_message(std::size_t connection, const sip::Message& message) {
+  const std::string id(message.header("Call-ID"));
+  if (!message.is_request() || !testbed_.knows(id)) return;
+  CallHistory& history = testbed_.record(id);
+  if (message.method == "INVITE") {
+    ServedCall call;
+    call.invite_cseq = sip::cseq_of(message)->number;
+    call.connection = connection;
+    call.number = message.uri.substr(4, message.uri.find('@') - 4);
+    unanswered_.insert_or_assign(id, call);
+    history.server = uid_;
+    history.invite_received = Clock::now();
+    if (answers_at_once_) answer(id);
+  } else if (message.method == "CANCEL") {
+    if (unanswered_.contains(id)) answer(id, "487 Request Terminated");
+  } else if (message.method == "BYE") {
+    if (established_.erase(id) > 0 && !history.ended) history.ended = Clock::now();
+  }
+}
+
+void StandInServer::answer(const std::string& id, const std::string& status_line) {
+  const auto it = unanswered_.find(id);
+  CHECK(it != unanswered_.end());
+  ServedCall call = it->second;
+  unanswered_.erase(it);
+  const bool success = status_line.starts_with("200");
+  const std::string body = success ? "answer of " + uid_ : "";
+  connections_.at(call.connection)
+      .peer->write("SIP/2.0 " + status_line + "\r\nCall-ID: " + id +
+                   "\r\nCSeq: " + std::to_string(call.invite_cseq) +
+                   " INVITE\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
+  if (!success) return;
+  if (holding_time_) call.ends_at = Clock::now() + *holding_time_;
+  established_.insert_or_assign(id, call);
+}
+
+void StandInServer::end_call(const std::string& id, int cause) {
+  const auto it = established_.find(id);
+  CHECK(it != established_.end());
+  const ServedCall call = it->second;
+  established_.erase(it);
+  testbed_.record(id).ended = Clock::now();
+  const std::string bye = bye_for(id, call.number, cause);
+  byes_to_repeat_.push_back(bye);
+  auto target = connections_.find(call.connection);
+  if (target == connections_.end() || !target->second.peer->open()) {
+    target = std::find_if(connections_.begin(), connections_.end(),
+                          [](const auto& entry) { return entry.second.peer->open(); });
+  }
+  if (target == connections_.end()) return;
+  testbed_.record(id).bye_sent = Clock::now();
+  target->second.peer->write(bye);
+}
+
+void StandInServer::vanish() {
+  frozen_ = true;
+  CHECK(::listen(listener_.descriptor(), 0) == 0);
+  constexpr int kFillers = 4;
+  for (int i = 0; i < kFillers; ++i) {
+    test::Socket filler(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0));
+    const sockaddr_in address = test::loopback(port_);
+    ::connect(filler.descriptor(), reinterpret_cast<const sockaddr*>(&address), sizeof address);
+    backlog_fillers_.push_back(std::move(filler));
+  }
+  cut_calls();
+}
+
+void StandInServer::cut_calls() {
+  for (const auto& [id, call] : std::exchange(established_, {})) testbed_.record(id).ended = Clock::now();
+  unanswered_.clear();
+  byes_to_repeat_.clear();
+}
+
+void StandInServer::stop() {
+  cut_calls();
+  listener_ = test::Socket();
+  backlog_fillers_.clear();
+  reset_connections();
+  connections_.clear();
+}
+
+void StandInServer::start() {
+  frozen_ = false;
+  stop();  // what a vanished machine left open
+  listen();
+}
+
+void StandInServer::stop_listening() { listener_ = test::Socket(); }
+
+void StandInServer::close_connections() {
+  for (auto& [number, connection] : connections_) connection.peer->close();
+}
+
+void StandInServer::reset_connections() {
+  for (auto& [number, connection] : connections_) connection.peer->reset();
+}
+
+void StandInServer::write_noise() {
+  for (auto& [number, connection] : connections_)
+    connection.peer->write("no message of this protocol\r\n\r\n");
+}
+
+void StandInServer::collect_descriptors(std::vector<int>& descriptors) const {
+  if (frozen_) return;
+  if (listener_.descriptor() >= 0) descriptors.push_back(listener_.descriptor());
+  for (const auto& [number, connection] : connections_) descriptors.push_back(connection.peer->descriptor());
+}
+
+// ---- CallTestbed
+
+CallTestbed::CallTestbed(TestbedOptions options) : options_(std::move(options)) {
+  discovery_listener_ = listening_socket(0);
+  discovery_port_ = discovery_listener_.port();
+  port_ = test::Socket::bound(SOCK_STREAM).port();
+  std::map<std::string, std::string> states;
+  for (int i = 0; i < options_.servers; ++i) states[add_server().uid()] = "ready";
+  publish(states);
+}
+
+CallTestbed::~CallTestbed() = default;
+
+StandInServer& CallTestbed::add_server(int port) {
+  servers_.push_back(std::make_unique<StandInServer>(*this, "s-" + std::to_string(servers_.size()), port));
+  listed_[servers_.back()->uid()] = {servers_.back()->port(), "", 0};
+  return *servers_.back();
+}
+
+StandInServer* CallTestbed::server_of(const std::string& id) {
+  const std::string& uid = calls_.at(id).server;
+  const auto it = std::ranges::find_if(servers_, [&](const auto& server) { return server->uid() == uid; });
+  return it == servers_.end() ? nullptr : it->get();
+}
+
+nlohmann::json CallTestbed::target_of(const std::string& uid) const {
+  const Listed& listed = listed_.at(uid);
+  return {{"uid", uid},
+          {"endpoint", address_of(listed.port)},
+          {"az", "west"},
+          {"pod_group", 0},
+          {"state", listed.state},
+          {"capacity_hint", 4},
+          {"model", "std-1core"},
+          {"boot_ms", listed.boot_ms}};
+}
+
+std::string CallTestbed::event_of(const std::set<std::string>& uids, bool complete) const {
+  nlohmann::json targets = nlohmann::json::array();
+  for (const std::string& uid : uids) targets.push_back(target_of(uid));
+  const std::size_t position = events_.size() + 1;
+  return nlohmann::json{{"pos", position},
+                        {"hosts", {{"rev", position}, {"all", complete}, {"targets", targets}}}}
+      .dump();
+}
+
+void CallTestbed::publish(const std::map<std::string, std::string>& states, bool restarted) {
+  std::set<std::string> uids;
+  for (const auto& [uid, state] : states) {
+    listed_.at(uid).state = state;
+    if (restarted) {
+      const auto unix_time = std::chrono::system_clock::now().time_since_epoch();
+      listed_.at(uid).boot_ms = std::chrono::duration_cast<std::chrono::milliseconds>(unix_time).count();
+    }
+    uids.insert(uid);
+  }
+  events_.push_back(event_of(uids, events_.empty()));
+}
+
+void CallTestbed::set_discovery_reachable(bool reachable) {
+  for (Watch& watch : watches_) watch.peer->reset();
+  watches_.clear();
+  discovery_listener_ = reachable ? listening_socket(discovery_port_) : test::Socket();
+}
+
+void CallTestbed::start_gatekeeper() {
+  if (gatekeeper_) former_logs_ += gatekeeper_->log() + "---- started again\n";
+  callers_.clear();
+  nlohmann::json entries = nlohmann::json::array();
+  for (const std::string& event : events_) entries.push_back(nlohmann::json::parse(event));
+  const nlohmann::json config = {{"name", "t1"},
+                                 {"listen", address_of(port_)},
+                                 {"seed", "8c1f30d27a5be964"},
+                                 {"limits", {{"cores", 1.0}, {"memory_mb", 192}, {"sockets", 1024}}},
+                                 {"journal", address_of(discovery_port_)},
+                                 {"known", {{"pos", events_.size()}, {"entries", entries}}},
+                                 {"settings", test::settings()}};
+  gatekeeper_.emplace(options_.binary, config.dump(), "", -1, [] { ::setenv("GRANITERUN_LOG", "debug", 1); });
+  bool ready = false;
+  const TimePoint end = Clock::now() + kReadyTimeout;
+  test::Socket probe = test::Socket::connected(port_);
+  StreamPeer prober(std::move(probe));
+  while (!ready) {
+    CHECK(Clock::now() < end);
+    prober.write("{\"type\":\"ping\",\"id\":\"00000000000000ee\",\"fields\":{},\"cause\":0}\n");
+    run_until([&] { return prober.read_available(), prober.input.find('\n') != std::string::npos; }, 500ms);
+    ready = prober.input.find("\"cause\":1") != std::string::npos;
+    prober.input.clear();
+  }
+}
+
+std::string CallTestbed::place_call(Clock::duration time_left, int destination) {
+  std::ostringstream id;
+  id << std::hex << std::setfill('0') << std::setw(8) << (options_.seed & 0xffffffff) << std::setw(8)
+     << ++last_call_;
+  const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(time_left).count();
+  const nlohmann::json line = {{"type", "setup"},
+                               {"id", id.str()},
+                               {"fields",
+                                {{"class", "voice"},
+                                 {"left", std::to_string(ms)},
+                                 {"key", "7f3a9c21e0b4d655"},
+                                 {"extras", "dest:" + std::to_string(destination) + ";width:1;via:-1"}}},
+                               {"sdp", "offer"}};
+  CallHistory& call = calls_[id.str()];
+  call.id = id.str();
+  call.time_left = time_left;
+  call.setup_sent = Clock::now();
+  open_caller().write(line.dump() + "\n");
+  return id.str();
+}
+
+StreamPeer& CallTestbed::open_caller() {
+  std::erase_if(callers_, [](const auto& caller) { return !caller->open(); });
+  if (callers_.empty()) callers_.push_back(std::make_unique<StreamPeer>(test::Socket::connected(port_)));
+  return *callers_.back();
+}
+
+void CallTestbed::close_callers() { callers_.clear(); }
+
+void CallTestbed::schedule(Clock::duration delay, std::function<void()> action) {
+  scheduled_.emplace(Clock::now() + delay, std::move(action));
+}
+
+bool CallTestbed::run_until(const std::function<bool()>& condition, Clock::duration limit) {
+  const TimePoint end = Clock::now() + limit;
+  while (!condition()) {
+    if (Clock::now() >= end) return false;
+    serve();
+  }
+  return true;
+}
+
+void CallTestbed::run_for(Clock::duration span) {
+  run_until([] { return false; }, span);
+}
+
+void CallTestbed::serve() {
+  std::vector<int> descriptors{discovery_listener_.descriptor()};
+  for (const auto& server : servers_) server->collect_descriptors(descriptors);
+  for (const Watch& watch : watches_) descriptors.push_back(watch.peer->descriptor());
+  for (const auto& caller : callers_) descriptors.push_back(caller->descriptor());
+  std::vector<pollfd> polled;
+  for (const int descriptor : descriptors) polled.push_back({descriptor, POLLIN, 0});
+  constexpr int kPollMs = 5;
+  ::poll(polled.data(), polled.size(), kPollMs);
+  while (!scheduled_.empty() && scheduled_.begin()->first <= Clock::now()) {
+    const std::function<void()> action = std::move(scheduled_.begin()->second);
+    scheduled_.erase(scheduled_.begin());
+    action();
+  }
+  for (const auto& server : servers_) server->serve();
+  serve_discovery();
+  serve_callers();
+}
+
+void CallTestbed::serve_discovery() {
+  if (discovery_listener_.descriptor() >= 0) {
+    for (test::Socket socket = accept_available(discovery_listener_); socket.descriptor() >= 0;
+         socket = accept_available(discovery_listener_)) {
+      watches_.push_back({std::make_unique<StreamPeer>(std::move(socket)), 0, false, {}});
+    }
+  }
+  for (Watch& watch : watches_) {
+    watch.peer->read_available();
+    if (!watch.started && watch.peer->input.find("\r\n\r\n") != std::string::npos) {
+      const std::string name = "Last-Event-ID: ";
+      const std::size_t at = watch.peer->input.find(name);
+      watch.position = at == std::string::npos ? 0 : std::stoul(watch.peer->input.substr(at + name.size()));
+      watch.started = true;
+      watch.peer->write("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n");
+    }
+    if (!watch.started) continue;
+    for (; watch.position < events_.size(); ++watch.position)
+      watch.peer->write("id: " + std::to_string(watch.position + 1) + "\ndata: " + events_[watch.position] +
+                        "\n\n");
+    if (Clock::now() < watch.next_comment) continue;
+    watch.next_comment = Clock::now() + kDiscoveryCommentInterval;
+    watch.peer->write(": alive\n\n");
+  }
+  std::erase_if(watches_, [](const Watch& watch) { return !watch.peer->open(); });
+}
+
+void CallTestbed::serve_callers() {
+  const std::size_t count = callers_.size();
+  for (std::size_t i = 0; i < count; ++i) {
+    StreamPeer& caller = *callers_[i];
+    caller.read_available();
+    while (true) {
+      const jsonl::ReadResult read = jsonl::read(caller.input);
+      if (read.state == jsonl::ReadState::more) break;
+      CHECK(read.state == jsonl::ReadState::message);
+      const jsonl::Message message = read.message;
+      caller.input.erase(0, read.used);
+      handle_caller_line(caller, message);
+    }
+  }
+  std::erase_if(callers_, [](const auto& caller) { return !caller->open(); });
+}
+
+void CallTestbed::handle_caller_line(StreamPeer& caller, const jsonl::Message& message) {
+  const auto it = calls_.find(message.id);
+  if (it == calls_.end()) return;
+  CallHistory& call = it->second;
+  if (message.type == "answer") {
+    ++call.final_answers;
+    call.established = Clock::now();
+  } else if (message.type == "release") {
+    caller.write("{\"type\":\"released\",\"id\":\"" + message.id + "\",\"fields\":{}}\n");
+    if (call.established) {
+      if (!call.released) call.released = Clock::now();
+    } else {
+      ++call.final_answers;
+      call.rejected = Clock::now();
+    }
+  }
+}
+
+std::string CallTestbed::describe(const CallHistory& call) const {
+  std::ostringstream text;
+  text << "call " << call.id << " at " << (call.server.empty() ? "-" : call.server);
+  const auto print = [&](const char* name, const std::optional<TimePoint>& at) {
+    if (at) text << ' ' << name << '=' << std::chrono::duration<double>(*at - started_at_).count();
+  };
+  print("setup_sent", call.setup_sent);
+  print("invite_received", call.invite_received);
+  print("established", call.established);
+  print("rejected", call.rejected);
+  print("ended", call.ended);
+  print("bye_sent", call.bye_sent);
+  print("released", call.released);
+  return text.str();
+}
+
+std::vector<std::string> CallTestbed::violations() const {
+  std::vector<std::string> all;
+  const TimePoint now = Clock::now();
+  for (const auto& [id, call] : calls_) {
+    if (call.final_answers > 1) all.push_back("answered more than once: " + describe(call));
+    const TimePoint answer_due = *call.setup_sent + call.time_left + kSocketSlack;
+    const std::optional<TimePoint> answered = call.established ? call.established : call.rejected;
+    if (answered.value_or(now) > answer_due) all.push_back("not answered in time: " + describe(call));
+    if (!call.established || !call.ended) continue;
+    const TimePoint over = std::max(*call.ended, *call.established);
+    const TimePoint release_due =
+        (call.bye_sent ? *call.bye_sent + kReleaseLimit : over + kUnsentReleaseLimit) + kSocketSlack;
+    if (call.released.value_or(now) > release_due) all.push_back("not released in time: " + describe(call));
+  }
+  return all;
+}
+
+}  // namespace graniterun::lab
--- /dev/null
+++ b/lab/call_testbed.h
@@ -0,0 +1,218 @@
+// A real gatekeeper process over loopback, between stand-in callers, setup servers and a discovery service
+// that follow the platform's protocol. All stand-ins are served by the calling thread, in run_until(). Faults
+// are injected by calls between or at scheduled times; every call's history is recorded and judged afterwards
+// by unreleased_calls().
+#pragma once
+
+#include <chrono>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "codec/jsonl.h"
+#include "codec/sip.h"
+#include "stand_in.h"
+
+namespace graniterun::lab {
+
+using Clock = std::chrono::steady_clock;
+using TimePoint = Clock::time_point;
+
+// What the stand-ins saw of one call.
+struct CallHistory {
+  std::string id{};
+  std::string server{};  // uid of the server that received the last INVITE
+  Clock::duration time_left{};
+  std::optional<TimePoint> setup_sent{};
+  std::optional<TimePoint> invite_received{};
+  std::optional<TimePoint> established{};  // the caller read the answer
+  std::optional<TimePoint> rejected{};     // the caller read the rejection or failure
+  std::optional<TimePoint> ended{};        // at the server, or by a BYE of the gatekeeper
+  std::optional<TimePoint> bye_sent{};     // the server's first BYE
+  std::optional<TimePoint> released{};     // the caller read the release of the established call
+  int final_answers = 0;
+};
+
+// A connection that is read without blocking.
+class StreamPeer {
+ public:
+  explicit StreamPeer(test::Socket socket);
+  bool open() const { return socket_.descriptor() >= 0; }
+  int descriptor() const { return socket_.descriptor(); }
+  // Appends what has arrived to `input`; closes this side if the peer has closed.
+  void read_available();
+  // Writes all of it; output that the peer does not take is lost, as it would be at a reset.
+  void write(const std::string& bytes);
+  void close();  // orderly
+  void reset();  // RST
+  std::string input{};
+
+ private:
+  test::Socket socket_;
+};
+
+class CallTestbed;
+
+// A setup server of the platform. A release is sent on the connection of the call's INVITE, otherwise on any
+// open one, and again on the next one that is opened.
+class StandInServer {
+ public:
+  StandInServer(CallTestbed& testbed, std::string uid, int port);
+
+  const std::string& uid() const { return uid_; }
+  int port() const { return port_; }
+  std::size_t open_connections() const;
+  bool has_unanswered(const std::string& id) const { return unanswered_.contains(id); }
+  bool has_established(const std::string& id) const { return established_.contains(id); }
+
+  // Whether an INVITE is answered with 200 when it arrives; otherwise answer() does it.
+  void set_answers_at_once(bool at_once) { answers_at_once_ = at_once; }
+  // Established calls end by themselves after this time.
+  void set_holding_time(std::optional<Clock::duration> holding_time) { holding_time_ = holding_time; }
+  void answer(const std::string& id, const std::string& status_line = "200 OK");
+  void end_call(const std::string& id, int cause = 16);
+
+  // Neither reads, writes nor accepts; the kernel still accepts connections.
+  void freeze() { frozen_ = true; }
+  void resume() { frozen_ = false; }
+  // The machine is gone: open connections stay open and silent, and new ones never come up.
+  void vanish();
+  // Ends the process: its calls are cut, its connections are reset, connects are refused.
+  void stop();
+  // Listens again on the same port, as a new process.
+  void start();
+  // The process goes on without a listener: another server may take its address.
+  void stop_listening();
+  void close_connections();
+  void reset_connections();
+  void write_noise();  // bytes that are no message, on each open connection
+
+  void serve();  // reads, accepts and sends what is due
+  void collect_descriptors(std::vector<int>& descriptors) const;
+
+ private:
+  struct Connection {
+    std::unique_ptr<StreamPeer> peer;
+    TimePoint next_notification{};
+  };
+  struct ServedCall {
+    std::string number{};
+    int invite_cseq = 1;
+    std::size_t connection{};  // of its INVITE
+    std::optional<TimePoint> ends_at{};
+  };
+  void listen();
+  void accept();
+  void handle_message(std::size_t connection, const sip::Message& message);
+  void send_bye(const std::string& id, const std::string& bye);
+  void cut_calls();
+
+  CallTestbed& testbed_;
+  std::string uid_;
+  int port_;
+  test::Socket listener_{};
+  std::vector<test::Socket> backlog_fillers_{};  // keep the listen queue of a vanished machine full
+  std::map<std::size_t, Connection> connections_{};
+  std::size_t last_connection_ = 0;
+  std::map<std::string, ServedCall> unanswered_{};
+  std::map<std::string, ServedCall> established_{};
+  std::vector<std::string> byes_to_repeat_{};  // sent again on the next connection
+  bool answers_at_once_ = false;
+  std::optional<Clock::duration> holding_time_{};
+  bool frozen_ = false;
+};
+
+struct TestbedOptions {
+  std::string binary{};
+  int servers = 2;
+  std::uint64_t seed = 1;
+};
+
+class CallTestbed {
+ public:
+  explicit CallTestbed(TestbedOptions options);
+  ~CallTestbed();
+  CallTestbed(const CallTestbed&) = delete;
+  CallTestbed& operator=(const CallTestbed&) = delete;
+
+  StandInServer& server(std::size_t index) { return *servers_.at(index); }
+  std::size_t server_count() const { return servers_.size(); }
+  // Adds a server that is not listed yet; 0: on a free port.
+  StandInServer& add_server(int port = 0);
+  // The server that received the call's last INVITE; null: none.
+  StandInServer* server_of(const std::string& id);
+
+  // Publishes one change of the endpoint list: the state of each named server.
+  void publish(const std::map<std::string, std::string>& states, bool restarted = false);
+  void set_discovery_reachable(bool reachable);
+
+  // Starts the gatekeeper with the endpoint list as published so far, and waits until it is ready.
+  void start_gatekeeper();
+  void signal_gatekeeper(int number) { gatekeeper_->signal(number); }
+  // Waits for the end of the process; its exit status.
+  int await_exit() { return gatekeeper_->exit_status(); }
+  std::string log() const { return former_logs_ + (gatekeeper_ ? gatekeeper_->log() : ""); }
+
+  // Sends a setup on a caller's connection; returns the id of the call.
+  std::string place_call(Clock::duration time_left, int destination = 0);
+  const CallHistory& history(const std::string& id) const { return calls_.at(id); }
+  const std::map<std::string, CallHistory>& calls() const { return calls_; }
+  void close_callers();  // the next one is opened when it is needed
+
+  // Serves the stand-ins until the condition holds; false if it does not within the time limit.
+  bool run_until(const std::function<bool()>& condition, Clock::duration limit);
+  void run_for(Clock::duration span);
+  void schedule(Clock::duration delay, std::function<void()> action);
+
+  // Calls that break a rule: no final answer by the deadline, a second one, or an established call that is
+  // over and was not released to its caller within the protocol's limits. One line of text for each.
+  std::vector<std::string> violations() const;
+  std::string describe(const CallHistory& call) const;
+
+  CallHistory& record(const std::string& id) { return calls_.at(id); }
+  bool knows(const std::string& id) const { return calls_.contains(id); }
+
+ private:
+  void serve();
+  void serve_discovery();
+  void serve_callers();
+  void handle_caller_line(StreamPeer& caller, const jsonl::Message& message);
+  StreamPeer& open_caller();
+  std::string event_of(const std::set<std::string>& uids, bool complete) const;
+  nlohmann::json target_of(const std::string& uid) const;
+
+  struct Listed {
+    int port{};
+    std::string state{};
+    std::int64_t boot_ms{};
+  };
+  TestbedOptions options_;
+  int port_ = 0;
+  std::vector<std::unique_ptr<StandInServer>> servers_{};
+  std::map<std::string, Listed> listed_{};
+  std::vector<std::string> events_{};  // of the discovery service, from position 1
+  test::Socket discovery_listener_{};
+  int discovery_port_ = 0;
+  struct Watch {
+    std::unique_ptr<StreamPeer> peer;
+    std::size_t position{};
+    bool started = false;
+    TimePoint next_comment{};
+  };
+  std::vector<Watch> watches_{};
+  std::optional<test::Program> gatekeeper_{};
+  std::string former_logs_{};
+  std::vector<std::unique_ptr<StreamPeer>> callers_{};
+  std::map<std::string, CallHistory> calls_{};
+  std::multimap<TimePoint, std::function<void()>> scheduled_{};
+  std::uint64_t last_call_ = 0;
+  TimePoint started_at_ = Clock::now();
+};
+
+}  // namespace graniterun::lab
