Export requests rejected at shutdown under their own name

Seen while reading: the exporter's list had nine names for ten reject reasons (src/otlp/exporter.cpp, to_string), so that shutting_down was exported as 'cut', and 'ended' would be read past the end.

--- a/src/otlp/exporter.cpp
+++ b/src/otlp/exporter.cpp
@@ -2,6 +2,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "core/names.h"
+
 namespace graniterun::otlp {
 namespace {
 
@@ -26,18 +28,6 @@
   return {{"key", key}, {"value", {{"stringValue", value}}}};
 }
 
-const char* to_string(core::RejectReason reason) {
-  constexpr const char* kNames[] = {"gapped",     "throttled", "over_budget", "overdue", "number_busy",
-                                    "no_success", "crossed",   "cut",         "ended"};
-  return kNames[static_cast<std::size_t>(reason)];
-}
-
-const char* to_string(Outcome outcome) {
-  constexpr const char* kNames[] = {"ok",    "busy_or_fault", "full",    "timed_out", "no_connection",
-                                    "reset", "cancelled",     "not_sent"};
-  return kNames[static_cast<std::size_t>(outcome)];
-}
-
 json scope() { return {{"name", "graniterun"}}; }
 
 // Whether OTLP/HTTP lists the response status as retryable.
@@ -72,7 +62,8 @@
   request["attributes"] = {
       attribute("call.id", effect.request->correlation_id),
       attribute("call.class", effect.request->class_name), attribute("call.team", effect.request->team),
-      attribute("call.answer", effect.reject_reason ? to_string(*effect.reject_reason) : "served")};
+      attribute("call.answer",
+                std::string(effect.reject_reason ? core::to_string(*effect.reject_reason) : "served"))};
   json spans = json::array({request});
   for (const core::AttemptRecord& record : effect.attempts) {
     const bool succeeded = !record.outcome || *record.outcome == Outcome::ok;
@@ -86,7 +77,8 @@
                     {"status", {{"code", succeeded ? kStatusOk : kStatusError}}}};
     attempt["attributes"] = {
         attribute("server.id", name_of(record.server)),
-        attribute("attempt.outcome", record.outcome ? to_string(*record.outcome) : "stands")};
+        attribute("attempt.outcome",
+                  std::string(record.outcome ? core::to_string(*record.outcome) : "stands"))};
     spans.push_back(std::move(attempt));
   }
   // Without the array's brackets: encode_traces joins the texts of several requests.
--- a/tests/otlp_test.cpp
+++ b/tests/otlp_test.cpp
@@ -13,11 +13,11 @@
   ExporterLab() : exporter({"127.0.0.1:4318", "collector", "t0", 1s, 9}, counters) {
     exporter.start(now, out);
   }
-  void request() {
+  void request(core::RejectReason reason = core::RejectReason::deadline_exceeded) {
     core::RequestAnswered e;
     e.request = std::make_shared<const core::Request>();
     e.received_at = now - 100ms;
-    e.reject_reason = core::RejectReason::deadline_exceeded;
+    e.reject_reason = reason;
     e.attempts = {{ServerId{0}, e.received_at, now, Outcome::timed_out}};
     exporter.record_request(now, e, [](ServerId) { return std::string("s0"); });
   }
@@ -71,6 +71,15 @@
   CHECK_EQ(lab.counters.value("otlp.posts_dropped"), 1U);
 }
 
+// The list of names had none for requests rejected at shutdown: they were exported as calls that were cut.
+void rejection_at_shutdown_is_exported_by_its_name() {
+  ExporterLab lab;
+  lab.request(core::RejectReason::shutting_down);
+  lab.export_now();
+  lab.connect();
+  CHECK(lab.sent().find(R"("stringValue":"shutting_down")") != std::string::npos);
+}
+
 void gauges_are_exported_with_their_attributes() {
   ExporterLab lab;
   lab.gauges = {{"gaps.hot_number", "{call}/s", 41.5, {{"number", "4711"}}},
@@ -106,6 +115,7 @@
 
 int main() {
   retryable_posts_are_sent_again();
+  rejection_at_shutdown_is_exported_by_its_name();
   gauges_are_exported_with_their_attributes();
   unresponsive_collector_uses_bounded_memory();
 }
