Log each attempt, connection and close reason of a call at level debug

At GRANITERUN_LOG=debug each listed endpoint, connect, close with its reason, attempt, final answer and release is one line with the call's correlation id. Texts are made only at that level. Seen in the reproduction: 'connection_closed reason=silent outstanding=0' 33 ms after the answer, and no connect after it.

--- a/src/downstream/platform.cpp
+++ b/src/downstream/platform.cpp
@@ -348,6 +348,11 @@
   const auto is_usable = [](const auto& c) { return !c.second.peer_closed; };
   auto it = connections_.find(preferred);
   if (it == connections_.end() || !is_usable(*it)) it = std::ranges::find_if(connections_, is_usable);
+  out.debug(now, [&] {
+    return "caller_released call=" + id +
+           (it == connections_.end() ? " waits_for_connection=1"
+                                     : " caller=" + std::to_string(it->first.number));
+  });
   if (it == connections_.end()) {
     if (unassigned_releases_.size() < kMaxUnassignedReleases)
       unassigned_releases_.emplace_back(id, std::move(line));
--- a/src/gatekeeper/gatekeeper.cpp
+++ b/src/gatekeeper/gatekeeper.cpp
@@ -5,6 +5,7 @@
 
 #include "config/descriptors.h"
 #include "config/overlay.h"
+#include "gatekeeper/effect_log.h"
 #include "management/telemetry.h"
 
 namespace graniterun {
@@ -77,11 +78,12 @@
 }  // namespace
 
 Gatekeeper::Gatekeeper(const PlatformConfig& config, const DeployConfig& deploy,
-                       std::function<void(Counters&)> more_counters)
+                       std::function<void(Counters&)> more_counters, net::Level min_log_level)
     : config_(config),
       classes_(initial_class_table(config)),
       deploy_(deploy),
       more_counters_(std::move(more_counters)),
+      min_log_level_(min_log_level),
       control_(control_settings(config, deploy), counters_),
       fleet_(deploy.fleet.value_or(fleet::FleetSettings{}), counters_),
       broker_(config.settings, config.seed, core::Contracts(deploy.contracts), counters_, admission_check()),
@@ -217,6 +219,7 @@
 
 void Gatekeeper::step(Time now, const net::Event& event, net::Effects& effects) {
   Outbox out;
+  out.debug_enabled = min_log_level_ == net::Level::debug;
   if (const auto concern = net::concern_of(event)) {
     if (const Handler& part = handlers_[static_cast<std::size_t>(*concern)]) part(now, event, out);
   } else {
@@ -299,6 +302,9 @@
 }
 
 void Gatekeeper::apply(Time now, const core::Effect& effect, Outbox& out) {
+  if (out.debug_enabled)
+    log_effect(
+        now, effect, [this](ServerId id) { return name_of(id); }, out);
   const auto to_servers = [&](const auto& e) {
     trunk_ ? trunk_->apply(now, e, out) : servers_.apply(now, e, out);
   };
--- a/src/gatekeeper/gatekeeper.h
+++ b/src/gatekeeper/gatekeeper.h
@@ -25,9 +25,10 @@
 
 class Gatekeeper {
  public:
-  // `more_counters` adds the counters that are kept outside of this class.
+  // `more_counters` adds the counters that are kept outside of this class. At `min_log_level` debug, each
+  // step of a call and of a server connection is logged.
   Gatekeeper(const PlatformConfig& config, const DeployConfig& deploy,
-             std::function<void(Counters&)> more_counters);
+             std::function<void(Counters&)> more_counters, net::Level min_log_level = net::Level::info);
 
   void step(Time now, const net::Event& event, net::Effects& effects);
 
@@ -70,6 +71,7 @@
   core::ClassTable classes_;  // classes of the active settings and of open calls
   DeployConfig deploy_;
   std::function<void(Counters&)> more_counters_;
+  net::Level min_log_level_;
   Counters counters_;
   control::Control control_;
   fleet::Fleet fleet_;
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -101,9 +101,11 @@
 
   net::RuntimeLimits limits;
   limits.max_connections = descriptor_shares(config.max_sockets).accepted;
-  net::Runtime runtime(limits, net::Logger(parse_log_level(environment_variable("GRANITERUN_LOG"))));
-  Gatekeeper gatekeeper(config, deploy,
-                        [&runtime](Counters& all) { net::add_runtime_counters(all, runtime.counters()); });
+  const net::Level min_log_level = parse_log_level(environment_variable("GRANITERUN_LOG"));
+  net::Runtime runtime(limits, net::Logger(min_log_level));
+  Gatekeeper gatekeeper(
+      config, deploy, [&runtime](Counters& all) { net::add_runtime_counters(all, runtime.counters()); },
+      min_log_level);
   return runtime.run([&gatekeeper](Time now, const net::Event& event, net::Effects& effects) {
     gatekeeper.step(now, event, effects);
   });
--- a/src/net/outbox.h
+++ b/src/net/outbox.h
@@ -1,6 +1,7 @@
 // Output of a sub-reducer for one event: effects for the runtime, and events for the broker.
 #pragma once
 
+#include <cstdio>
 #include <string>
 #include <utility>
 #include <vector>
@@ -10,9 +11,17 @@
 
 namespace graniterun {
 
+// Seconds of the gatekeeper's clock, with microseconds.
+inline std::string describe_time(Time time) {
+  char text[32];
+  std::snprintf(text, sizeof text, "%.6f", std::chrono::duration<double>(time.time_since_epoch()).count());
+  return text;
+}
+
 struct Outbox {
   net::Effects net;
   std::vector<core::Event> core;
+  bool debug_enabled = false;
 
   void send(net::ConnId conn, std::string bytes) { net.push_back(net::Send{conn, std::move(bytes)}); }
   // The runtime counts the message once it is completely written; `withdraw_send` can withdraw it before.
@@ -28,6 +37,12 @@
     net.push_back(net::ArmTimer{{concern, number}, at});
   }
   void log(net::Level level, std::string text) { net.push_back(net::Log{level, std::move(text)}); }
+  // Logs at level `debug`. The text is made only if that level is logged: these lines are written for each
+  // attempt and each connection.
+  template <class MakeText>
+  void debug(Time now, MakeText make_text) {
+    if (debug_enabled) log(net::Level::debug, make_text() + " at=" + describe_time(now));
+  }
   void notify_broker(core::Event event) { core.push_back(std::move(event)); }
 };
 
--- a/src/upstream/directory.h
+++ b/src/upstream/directory.h
@@ -5,12 +5,26 @@
 #include <algorithm>
 #include <map>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "config/config.h"
 
 namespace graniterun::upstream {
 
+// The state's word in the endpoint list.
+constexpr std::string_view to_string(ServerState state) {
+  switch (state) {
+    case ServerState::in_service:
+      return "ready";
+    case ServerState::terminating:
+      return "draining";
+    case ServerState::terminated:
+      return "gone";
+  }
+  return "unknown";
+}
+
 class Directory {
  public:
   explicit Directory(std::vector<std::string> areas) : areas_(std::move(areas)) {}
--- a/src/upstream/setup_servers.cpp
+++ b/src/upstream/setup_servers.cpp
@@ -5,6 +5,7 @@
 #include <cmath>
 
 #include "codec/number.h"
+#include "core/names.h"
 #include "wire.h"
 
 namespace graniterun::upstream {
@@ -184,14 +185,18 @@
   for (const auto& [id, server] : servers_) by_address[server.endpoint.address].push_back(id);
   for (const Endpoint& endpoint : list.endpoints) {
     const ServerId id = directory_.find_or_assign_id(endpoint.uid);
-    update_endpoint(id, endpoint, by_address, out);
+    out.debug(now, [&] {
+      return "endpoint_listed server=" + endpoint.uid + " state=" + std::string(to_string(endpoint.state)) +
+             " address=" + endpoint.address;
+    });
+    update_endpoint(now, id, endpoint, by_address, out);
     update.entries.push_back(directory_.make_entry(id, endpoint));
   }
   out.notify_broker(core::ServersChanged{std::move(update)});
   for (auto& [id, server] : servers_) {
     if (server.endpoint.state != ServerState::in_service) withdraw_invites(server, out);
     if (server.endpoint.state == ServerState::terminated) {
-      end_established_calls(server, {}, out);
+      end_established_calls(now, server, {}, out);
       clear_current_connection(server);
     } else {
       servers_to_maintain_.insert(id);
@@ -200,8 +205,8 @@
   }
 }
 
-void SetupServers::update_endpoint(ServerId id, const Endpoint& endpoint, ServersByAddress& by_address,
-                                   Outbox& out) {
+void SetupServers::update_endpoint(Time now, ServerId id, const Endpoint& endpoint,
+                                   ServersByAddress& by_address, Outbox& out) {
   const auto [it, inserted] = servers_.try_emplace(id);
   Server& server = it->second;
   server.id = id;
@@ -210,7 +215,7 @@
   const std::string address = endpoint.address.empty() ? server.endpoint.address : endpoint.address;
   server.endpoint = endpoint;
   server.endpoint.address = address;
-  if (restarted) end_established_calls(server, endpoint.started, out);
+  if (restarted) end_established_calls(now, server, endpoint.started, out);
   if (moved) clear_current_connection(server);
   if (inserted || moved) by_address[address].push_back(id);
   if (endpoint.state != ServerState::in_service) return;
@@ -272,6 +277,10 @@
   server.next_connect = now + kReconnectDelay;
   connections_[number] = {server.id, false, now, {}, {}, {}, notifications_only};
   counters_.add("servers.connects");
+  out.debug(now, [&] {
+    return "connect_started server=" + server.endpoint.uid + " conn=" + std::to_string(number) +
+           " notifications_only=" + std::to_string(static_cast<int>(notifications_only));
+  });
   out.net.push_back(net::Connect{{net::Concern::server, number}, server.endpoint.address, connect_timeout_});
 }
 
@@ -282,7 +291,10 @@
   it->second.last_received_at = now;
   Server* server = find_server(it->second.server);
   if (server == nullptr || server->endpoint.state == ServerState::terminated)
-    return close_connection(now, event.conn.number, false, out);
+    return close_connection(now, event.conn.number, false, "server_removed", out);
+  out.debug(now, [&] {
+    return "connection_opened server=" + server->endpoint.uid + " conn=" + std::to_string(event.conn.number);
+  });
   if (server->unreachable_since || server->lost_at)
     out.log(net::Level::info, "setup server " + server->endpoint.uid + " is reachable again");
   server->connect_attempted = true;
@@ -308,6 +320,13 @@
                 : event.refused      ? "servers.connects_refused"
                                      : "servers.connects_timed_out");
   Server* server = find_server(it->second.server);
+  out.debug(now, [&] {
+    return "connect_failed server=" + name_of(it->second.server) +
+           " conn=" + std::to_string(event.conn.number) + " reason=" +
+           (event.local_shortage ? "local_shortage"
+            : event.refused      ? "refused"
+                                 : "timed_out");
+  });
   connections_.erase(it);
   if (server == nullptr) return;
   server->connections.erase(event.conn.number);
@@ -328,13 +347,13 @@
     out.log(net::Level::info,
             "setup server " + server->endpoint.uid +
                 " is unresponsive and a new connect timed out: ending its outstanding attempts");
-    close_connection(now, *server->current, false, out);
+    close_connection(now, *server->current, false, "unresponsive", out);
   }
   for (const AttemptKey& key : std::set<AttemptKey>(server->queued)) {
     const auto attempt = attempts_.find(key);
     core::AttemptFinished finished;
     finished.outcome = Outcome::no_connection;
-    finish_attempt(attempt->second, finished, out);
+    finish_attempt(now, attempt->second, finished, out);
     erase(attempt);
   }
 }
@@ -344,7 +363,7 @@
   if (it == connections_.end()) return;
   counters_.add("servers.connections_lost");
   Server* server = find_server(it->second.server);
-  close_connection(now, event.conn.number, true, out);
+  close_connection(now, event.conn.number, true, event.reset ? "reset_by_server" : "closed_by_server", out);
   if (server == nullptr) return;
   if (!server->current) {
     const bool any_up = std::any_of(server->connections.begin(), server->connections.end(),
@@ -357,10 +376,15 @@
 // Removes a connection, closing it unless the peer did, and ends its outstanding attempts. They are retained
 // as finished: one of them may have been established at the server, which then sends the release on another
 // connection.
-void SetupServers::close_connection(Time now, std::uint32_t conn, bool already_closed, Outbox& out) {
+void SetupServers::close_connection(Time now, std::uint32_t conn, bool already_closed,
+                                    std::string_view reason, Outbox& out) {
   if (!already_closed) out.close({net::Concern::server, conn});
   const auto it = connections_.find(conn);
   if (it == connections_.end()) return;
+  out.debug(now, [&] {
+    return "connection_closed server=" + name_of(it->second.server) + " conn=" + std::to_string(conn) +
+           " reason=" + std::string(reason) + " outstanding=" + std::to_string(it->second.outstanding.size());
+  });
   if (Server* server = find_server(it->second.server)) {
     if (server->current == conn) server->current.reset();
     if (server->connecting == conn) server->connecting.reset();
@@ -373,7 +397,7 @@
     UpstreamAttempt& attempt = attempts_.at(key);
     core::AttemptFinished finished;
     finished.outcome = attempt.state == AttemptState::sent ? Outcome::reset : Outcome::cancelled;
-    finish_attempt(attempt, finished, out);
+    finish_attempt(now, attempt, finished, out);
     enter_state(now, attempt, AttemptState::finished);
   }
 }
@@ -381,7 +405,7 @@
 void SetupServers::handle_malformed(Time now, std::uint32_t conn, const std::string& error, Outbox& out) {
   counters_.add("servers.malformed");
   malformed_warning_.line(now, "malformed message from a setup server: " + error, out);
-  drop_connection(now, conn, out);
+  drop_connection(now, conn, "malformed_message", out);
 }
 
 // Whether an established call belongs to this connection or to one that is closed; a server sends the
@@ -394,14 +418,14 @@
   });
 }
 
-void SetupServers::drop_connection(Time now, std::uint32_t conn, Outbox& out) {
+void SetupServers::drop_connection(Time now, std::uint32_t conn, std::string_view reason, Outbox& out) {
   const auto it = connections_.find(conn);
   Server* server = it == connections_.end() ? nullptr : find_server(it->second.server);
   const bool releases_expected = server != nullptr && may_receive_releases(*server, conn);
   // Dropped at once instead of read until the peer closes it: until then the server would go on sending
   // releases on it, which would be discarded.
   out.drop({net::Concern::server, conn});
-  close_connection(now, conn, true, out);
+  close_connection(now, conn, true, reason, out);
   if (server == nullptr) return;
   maintain_server(now, *server, out);
   // The server repeats a release that was not read here on the next connection opened, and only there.
@@ -441,7 +465,7 @@
   counters_.add(died ? "servers.died" : "servers.vanished");
   out.log(net::Level::warning, "setup server " + server.endpoint.uid + (died ? " died" : " vanished") +
                                    ": ending its established calls");
-  end_established_calls(server, {}, out);
+  end_established_calls(now, server, {}, out);
   server.last_received_at = now;
   server.lost_at.reset();
 }
@@ -479,7 +503,7 @@
 
 // Handles the runtime's confirmation that no byte of an INVITE was written: the attempt never reached the
 // server.
-void SetupServers::on(Time, const net::WriteWithdrawn& event, Outbox& out) {
+void SetupServers::on(Time now, const net::WriteWithdrawn& event, Outbox& out) {
   const auto it = connections_.find(event.conn.number);
   if (it == connections_.end()) return;
   const auto& outstanding = it->second.outstanding;
@@ -490,7 +514,7 @@
   const auto attempt = attempts_.find(*key);
   core::AttemptFinished finished;
   finished.outcome = Outcome::not_sent;
-  finish_attempt(attempt->second, finished, out);
+  finish_attempt(now, attempt->second, finished, out);
   erase(attempt);
 }
 
@@ -508,7 +532,7 @@
     }
     core::AttemptFinished finished;
     finished.outcome = Outcome::cancelled;
-    finish_attempt(it->second, finished, out);
+    finish_attempt(now, it->second, finished, out);
     enter_state(now, it->second, AttemptState::finished);
   }
   std::vector<std::uint32_t> stalled;
@@ -520,7 +544,7 @@
   });
   for (const std::uint32_t number : stalled) {
     counters_.add("servers.messages_cut_short");
-    drop_connection(now, number, out);
+    drop_connection(now, number, "message_timed_out", out);
   }
   // Closes non-current connections without outstanding attempts. A closed connection is no longer read, but
   // the server may send releases of established calls on it. Unless a connection replaces it, those releases
@@ -543,8 +567,8 @@
       continue;
     (releases_expected ? to_replace : idle).push_back(number);
   }
-  for (const std::uint32_t number : idle) close_connection(now, number, false, out);
-  for (const std::uint32_t number : to_replace) drop_connection(now, number, out);
+  for (const std::uint32_t number : idle) close_connection(now, number, false, "idle", out);
+  for (const std::uint32_t number : to_replace) drop_connection(now, number, "silent", out);
 }
 
 // Maintains the servers on the work list and removes those that need no more. Checking every server of a long
@@ -561,7 +585,7 @@
 
 // Ends the server's established calls: all of them, or those established before its restart at
 // `established_before`.
-void SetupServers::end_established_calls(Server& server, std::optional<Time> established_before,
+void SetupServers::end_established_calls(Time now, Server& server, std::optional<Time> established_before,
                                          Outbox& out) {
   for (const AttemptKey& key : std::set<AttemptKey>(server.attempts)) {
     const auto it = attempts_.find(key);
@@ -572,7 +596,7 @@
     core::AttemptFinished finished;
     finished.outcome = Outcome::reset;
     finished.cause = kCauseTemporaryFailure;
-    finish_attempt(attempt, finished, out);
+    finish_attempt(now, attempt, finished, out);
     erase(it);
   }
 }
@@ -646,7 +670,7 @@
   if (server.endpoint.state != ServerState::in_service || now >= attempt.deadline) {
     core::AttemptFinished finished;
     finished.outcome = Outcome::not_sent;
-    finish_attempt(attempt, finished, out);
+    finish_attempt(now, attempt, finished, out);
     return enter_state(now, attempt, AttemptState::finished);
   }
   update_indexes(attempt, false);
@@ -672,7 +696,7 @@
   if (attempt.state == AttemptState::queued) {
     core::AttemptFinished finished;
     finished.outcome = Outcome::not_sent;
-    finish_attempt(attempt, finished, out);
+    finish_attempt(now, attempt, finished, out);
     erase(it);
   } else if (attempt.state == AttemptState::sent) {
     enter_state(now, attempt, AttemptState::abandoned);
@@ -832,7 +856,7 @@
       if (attempt.state == AttemptState::abandoned) {
         finished.outcome = Outcome::cancelled;
         finished.late_success = true;
-        finish_attempt(attempt, finished, out);
+        finish_attempt(now, attempt, finished, out);
       }
       enter_state(now, attempt, AttemptState::finished);
     }
@@ -846,7 +870,7 @@
     // 486 means that the number is busy at every server; any other error may concern this server only.
     if (message.status == 486 && finished.reason == FullReason::none)
       finished.reason = FullReason::number_busy;
-    finish_attempt(attempt, finished, out);
+    finish_attempt(now, attempt, finished, out);
   }
   if (attempt.state != AttemptState::established) erase(it);
 }
@@ -890,7 +914,7 @@
   }
   finished.cause = cause;
   finished.report = report;
-  finish_attempt(attempt, finished, out);
+  finish_attempt(now, attempt, finished, out);
   enter_state(now, attempt, AttemptState::finished);  // the BYE may be repeated on another connection
 }
 
@@ -945,12 +969,18 @@
     counters_.add("servers.connections_deaf");
     out.log(net::Level::info,
             "a connection to setup server " + server.endpoint.uid + " is half-open: closing it");
-    drop_connection(now, number, out);
+    drop_connection(now, number, "half_open", out);
   }
 }
 
-void SetupServers::finish_attempt(const UpstreamAttempt& attempt, core::AttemptFinished finished,
+void SetupServers::finish_attempt(Time now, const UpstreamAttempt& attempt, core::AttemptFinished finished,
                                   Outbox& out) {
+  out.debug(now, [&] {
+    return "attempt_finished call=" + attempt.request->correlation_id +
+           " attempt=" + std::to_string(attempt.index) + " server=" + name_of(attempt.server) +
+           " outcome=" + std::string(core::to_string(finished.outcome)) +
+           " was_established=" + (attempt.state == AttemptState::established ? "1" : "0");
+  });
   finished.call = attempt.request->call;
   finished.attempt = attempt.index;
   out.notify_broker(finished);
--- a/src/upstream/setup_servers.h
+++ b/src/upstream/setup_servers.h
@@ -108,21 +108,23 @@
   void connect(Time now, Server& server, Outbox& out, bool notifications_only = false);
   void send_invite(Time now, Server& server, UpstreamAttempt& attempt, Outbox& out);
   using ServersByAddress = std::unordered_map<std::string, std::vector<ServerId>>;
-  void update_endpoint(ServerId id, const Endpoint& endpoint, ServersByAddress& by_address, Outbox& out);
+  void update_endpoint(Time now, ServerId id, const Endpoint& endpoint, ServersByAddress& by_address,
+                       Outbox& out);
   void end_calls_of_lost_server(Time now, Server& server, Outbox& out);
   void maintain_server(Time now, Server& server, Outbox& out);
   void maintain_servers(Time now, Outbox& out);
   void clear_current_connection(Server& server);
   void handle_response(Time now, std::uint32_t conn, const sip::Message& message, Outbox& out);
   void handle_request(Time now, std::uint32_t conn, const sip::Message& message, Outbox& out);
-  void finish_attempt(const UpstreamAttempt& attempt, core::AttemptFinished finished, Outbox& out);
+  void finish_attempt(Time now, const UpstreamAttempt& attempt, core::AttemptFinished finished, Outbox& out);
   void enter_state(Time now, UpstreamAttempt& attempt, AttemptState state);
   void update_indexes(const UpstreamAttempt& attempt, bool insert);
   void erase(Attempts::iterator attempt);
-  void end_established_calls(Server& server, std::optional<Time> established_before, Outbox& out);
-  void close_connection(Time now, std::uint32_t conn, bool already_closed, Outbox& out);
+  void end_established_calls(Time now, Server& server, std::optional<Time> established_before, Outbox& out);
+  void close_connection(Time now, std::uint32_t conn, bool already_closed, std::string_view reason,
+                        Outbox& out);
   void handle_malformed(Time now, std::uint32_t conn, const std::string& error, Outbox& out);
-  void drop_connection(Time now, std::uint32_t conn, Outbox& out);
+  void drop_connection(Time now, std::uint32_t conn, std::string_view reason, Outbox& out);
   void record_response(Time now, std::uint32_t conn, Time sent, Outbox& out);
   void close_half_open(Time now, const Server& server, const std::vector<std::uint32_t>& half_open,
                        Outbox& out);
