Watch calls at removed setup servers like all others

What callers saw: a call was answered, was over at its server, and no release came. Class: the watch over a call depended on the list's state of its server. Change: ServerWatch, a pure module listed under policy, decides for every server with calls, in each tick, whether a connection is needed and whether its calls are over; the list decides about new setups only. Calls that are established at the removal are no longer cut; they end by their release, or when two signs agree that the server is gone. Setups that wait for a connection to a server that leaves service are not sent, at once.

--- /dev/null
+++ b/src/upstream/server_watch.h
@@ -0,0 +1,90 @@
+// Decides for one setup server when a connection to it is needed and when its established calls are over,
+// because their releases can no longer arrive. It is told of connects, their results, input and lost
+// connections, and asked in each tick. It does no I/O and reads no clock. Invariants, for a server with
+// established calls and whatever its state in the endpoint list: a connection is open, being opened or due
+// within kReconnectDelay, unless its address belongs to another server; and calls_over() holds at the latest
+// kMaxSilence after the last sign of life. docs/design/server-watch.md.
+#pragma once
+
+#include <optional>
+#include <string_view>
+
+#include "graniterun/controller.h"
+
+namespace graniterun::upstream {
+
+// What is known of the server at the time of a decision.
+struct ServerSituation {
+  ServerState listed{};
+  bool address_reassigned{};  // another listed server has its address
+  bool has_attempts{};        // also finished ones, whose late messages are awaited
+  bool has_live_attempts{};   // queued, outstanding or established
+  bool has_established_calls{};
+  bool may_have_former_calls{};   // set up by an earlier process of this gatekeeper
+  bool has_current_connection{};  // one for new setups, or the one that is kept for releases
+  bool has_open_connection{};
+  bool connecting{};
+  bool response_overdue{};  // a response is awaited for longer than expected
+  bool setup_connections_full{};
+  bool notification_connections_full{};
+};
+
+enum class ConnectPurpose : std::uint8_t {
+  setups,        // becomes the current connection
+  notifications  // opened so that the server repeats its releases on it
+};
+
+// Minimum time between two connects to a server without a current connection.
+constexpr Duration kReconnectDelay = std::chrono::milliseconds(250);
+
+struct DueConnect {
+  ConnectPurpose purpose = ConnectPurpose::setups;
+  // Until the next one may be started, except for a repeat of releases.
+  Duration next_connect_delay = kReconnectDelay;
+};
+
+// Why established calls are over without a release of the server.
+enum class LostServerReason : std::uint8_t { died, vanished, silent, address_reassigned };
+std::string_view to_string(LostServerReason reason);
+
+class ServerWatch {
+ public:
+  void connect_started(Time now, const DueConnect& connect);
+  void connected(Time now);
+  void connect_failed(Time now, bool refused);
+  // The connect failed for want of a descriptor or port here, which says nothing about the server.
+  void connect_not_possible();
+  void input_received(Time now);
+  // A connection was closed. `release_may_be_lost`: it was reset, or dropped here, while releases were
+  // expected on it.
+  void connection_closed(bool release_may_be_lost);
+  // The server closed its last open connection.
+  void last_connection_lost(Time now);
+
+  // The connection that is to be opened now, if any.
+  std::optional<DueConnect> due_connect(Time now, const ServerSituation& situation) const;
+  // Whether open connections are to be kept.
+  static bool keeps_connections(const ServerSituation& situation);
+  // Whether the established calls are over.
+  std::optional<LostServerReason> calls_over(Time now, const ServerSituation& situation) const;
+
+  // Whether a connect has succeeded or failed.
+  bool connect_attempted() const { return connect_attempted_; }
+  bool was_unreachable() const { return unreachable_since_ || lost_at_; }
+  Duration silence(Time now) const { return now - last_sign_of_life_; }
+
+ private:
+  bool needs_connection(const ServerSituation& situation) const;
+
+  Time last_sign_of_life_{};  // last byte, or the last successful connect
+  Time last_repeat_at_{};     // last connect for notifications
+  Time next_connect_{};
+  std::optional<Time> unreachable_since_{};  // first of an unbroken run of failed connects
+  std::optional<Time> lost_at_{};            // when the last open connection broke; none has come up since
+  bool last_connect_refused_ = false;
+  bool connect_attempted_ = false;
+  bool repeat_needed_ = false;   // a connection must be opened on which the server repeats its releases
+  bool repeat_pending_ = false;  // the connect in progress is to be that one
+};
+
+}  // namespace graniterun::upstream
--- a/src/upstream/setup_servers.cpp
+++ b/src/upstream/setup_servers.cpp
@@ -16,18 +16,12 @@
 constexpr Duration kTickInterval = 50ms;
 // Maximum time from the first to the last byte of a message; after that the connection is dropped.
 constexpr Duration kMessageTimeout = 400ms;
-constexpr Duration kReconnectDelay = 250ms;
 // How long after the start ready() waits for the first connects; setups that come later wait for their
 // connection.
 constexpr Duration kInitialConnectTimeout = 500ms;
-// Time without a byte from a server with calls until a new connection to it is tried. A machine that vanishes
-// leaves its old connection half-open.
-constexpr Duration kIdleSuspicionTimeout = 1200ms;
 // Upper bound, and default, of the time that a setup may be outstanding with nothing else received before a
 // new connection is tried.
 constexpr Duration kMaxResponseTimeout = 600ms;
-// Delay before the next connection is tried while a response is overdue on the newest one as well.
-constexpr Duration kSuspicionRetryDelay = 400ms;
 // Lower bound of that time, which is 1.5 times the slowest recent response once enough responses are known.
 constexpr Duration kMinResponseTimeout = 100ms;
 constexpr int kMinResponsesForEstimate = 8;  // responses needed to estimate a server's response time
@@ -42,12 +36,11 @@
 // Time without a byte after which a notification connection is replaced if releases of established calls are
 // expected on it.
 constexpr Duration kNotificationReplaceTimeout = 600ms;
-// Time without a byte from an unreachable server after which its established calls are ended. The operators'
-// rule allows 8 s.
-constexpr Duration kVanishedTimeout = 5s;
-// Time after which the established calls of a server that refuses connections are ended. The port of a dead
-// process refuses at once; a restart within this time is tolerated.
-constexpr Duration kProcessDeathTimeout = 3s;
+// How long after the start of the process a server that drains may still have calls of an earlier process of
+// this gatekeeper. Almost all calls are shorter.
+constexpr Duration kFormerCallsTimeout = 60s;
+// Maximum number of removed servers that are connected to because of such calls.
+constexpr std::size_t kMaxRemovedServerConnects = 16;
 // How long the final response of an abandoned attempt is awaited: a success may already be on its way.
 constexpr Duration kAbandonTimeout = 120ms;
 // How long a finished attempt or released call is retained to match late messages.
@@ -194,14 +187,10 @@
   }
   out.notify_broker(core::ServersChanged{std::move(update)});
   for (auto& [id, server] : servers_) {
-    if (server.endpoint.state != ServerState::in_service) withdraw_invites(server, out);
-    if (server.endpoint.state == ServerState::terminated) {
-      end_established_calls(now, server, {}, out);
-      clear_current_connection(server);
-    } else {
-      servers_to_maintain_.insert(id);
-      maintain_server(now, server, out);
-    }
+    if (server.endpoint.state != ServerState::in_service) withdraw_setups(now, server, out);
+    if (server.endpoint.state == ServerState::terminated) update_reassignment(now, server, by_address, out);
+    servers_to_maintain_.insert(id);
+    maintain_server(now, server, out);
   }
 }
 
@@ -215,6 +204,7 @@
   const std::string address = endpoint.address.empty() ? server.endpoint.address : endpoint.address;
   server.endpoint = endpoint;
   server.endpoint.address = address;
+  if (endpoint.state != ServerState::terminated) server.address_reassigned = false;
   if (restarted) end_established_calls(now, server, endpoint.started, out);
   if (moved) clear_current_connection(server);
   if (inserted || moved) by_address[address].push_back(id);
@@ -234,14 +224,31 @@
   servers_to_maintain_.insert(server.id);
 }
 
-// Withdraws INVITEs that are not written yet, since a server that is not in service must get no new setups.
-void SetupServers::withdraw_invites(const Server& server, Outbox& out) {
+// Ends the attempts of setups that were not sent, and withdraws INVITEs that are not written yet: a server
+// that is not in service must get no new setups.
+void SetupServers::withdraw_setups(Time now, Server& server, Outbox& out) {
+  fail_queued(now, server, Outcome::not_sent, out);
   for (const auto& [since, key] : server.outstanding) {
     const UpstreamAttempt& attempt = attempts_.at(key);
     out.withdraw_send({net::Concern::server, attempt.conn}, attempt.ticket, {});
   }
 }
 
+// A removed server whose address another listed server has can be reached only on the connections that are
+// open. A call whose own connection is closed is then over: a later connection may already lead to the other
+// server.
+void SetupServers::update_reassignment(Time now, Server& server, const ServersByAddress& by_address,
+                                       Outbox& out) {
+  const auto it = by_address.find(server.endpoint.address);
+  const bool reassigned = it != by_address.end() && std::ranges::any_of(it->second, [&](ServerId other_id) {
+                            const Server& other = servers_.at(other_id);
+                            return other_id != server.id && other.endpoint.state != ServerState::terminated &&
+                                   other.endpoint.address == server.endpoint.address;
+                          });
+  if (!reassigned || std::exchange(server.address_reassigned, true)) return;
+  end_calls_without_connection(now, server, out);
+}
+
 // A restarted process with a saved endpoint list becomes ready even if no server is reachable: it then
 // rejects calls at once.
 void SetupServers::update_readiness(Time now) {
@@ -251,7 +258,7 @@
   for (const auto& [id, server] : servers_) {
     if (server.endpoint.state != ServerState::in_service) continue;
     any_in_service = true;
-    all_tried = all_tried && server.connect_attempted;
+    all_tried = all_tried && server.watch.connect_attempted();
   }
   ready_ = any_in_service && (all_tried || now - started_at_ >= kInitialConnectTimeout);
 }
@@ -270,11 +277,14 @@
 
 // ---- connections
 
-void SetupServers::connect(Time now, Server& server, Outbox& out, bool notifications_only) {
+void SetupServers::connect(Time now, Server& server, const DueConnect& due, Outbox& out) {
+  const bool notifications_only = due.purpose == ConnectPurpose::notifications;
   const std::uint32_t number = ++last_connection_;
   server.connecting = number;
   server.connections.insert(number);
-  server.next_connect = now + kReconnectDelay;
+  server.watch.connect_started(now, due);
+  if (server.endpoint.state == ServerState::terminated && server.live_attempts == 0)
+    ++removed_server_connects_;
   connections_[number] = {server.id, false, now, {}, {}, {}, notifications_only};
   counters_.add("servers.connects");
   out.debug(now, [&] {
@@ -290,14 +300,14 @@
   it->second.up = true;
   it->second.last_received_at = now;
   Server* server = find_server(it->second.server);
-  if (server == nullptr || server->endpoint.state == ServerState::terminated)
+  if (server == nullptr || !ServerWatch::keeps_connections(situation_of(now, *server)))
     return close_connection(now, event.conn.number, false, "server_removed", out);
   out.debug(now, [&] {
     return "connection_opened server=" + server->endpoint.uid + " conn=" + std::to_string(event.conn.number);
   });
-  if (server->unreachable_since || server->lost_at)
+  if (server->watch.was_unreachable())
     out.log(net::Level::info, "setup server " + server->endpoint.uid + " is reachable again");
-  server->connect_attempted = true;
+  server->watch.connected(now);
   server->connecting.reset();
   update_readiness(now);
   if (!it->second.notifications_only || !server->current) {
@@ -306,9 +316,6 @@
   } else {
     non_current_connections_.insert(event.conn.number);
   }
-  server->unreachable_since.reset();
-  server->lost_at.reset();
-  server->last_received_at = now;
   for (const AttemptKey& key : std::set<AttemptKey>(server->queued))
     send_invite(now, *server, attempts_.at(key), out);
 }
@@ -331,28 +338,33 @@
   if (server == nullptr) return;
   server->connections.erase(event.conn.number);
   servers_to_maintain_.insert(server->id);
-  server->connect_attempted = true;
+  if (event.local_shortage) {
+    server->watch.connect_not_possible();
+  } else {
+    server->watch.connect_failed(now, event.refused);
+  }
   update_readiness(now);
   server->connecting.reset();
-  if (!event.local_shortage) {
-    server->last_connect_refused = event.refused;
-    if (!server->unreachable_since) server->unreachable_since = now;
-  }
   // No data comes on the open connection and a new connect times out: the machine has vanished. Closing the
   // old connection ends its outstanding attempts, so that they can be retried elsewhere. Otherwise they wait
   // until their callers time out, and new setups are sent on the same connection.
   if (!event.refused && !event.local_shortage && server->current &&
-      now - server->last_received_at > kMaxResponseTimeout) {
+      server->watch.silence(now) > kMaxResponseTimeout) {
     counters_.add("servers.connections_dead");
     out.log(net::Level::info,
             "setup server " + server->endpoint.uid +
                 " is unresponsive and a new connect timed out: ending its outstanding attempts");
     close_connection(now, *server->current, false, "unresponsive", out);
   }
-  for (const AttemptKey& key : std::set<AttemptKey>(server->queued)) {
+  fail_queued(now, *server, Outcome::no_connection, out);
+}
+
+// Ends the attempts that wait for a connection.
+void SetupServers::fail_queued(Time now, Server& server, Outcome outcome, Outbox& out) {
+  for (const AttemptKey& key : std::set<AttemptKey>(server.queued)) {
     const auto attempt = attempts_.find(key);
     core::AttemptFinished finished;
-    finished.outcome = Outcome::no_connection;
+    finished.outcome = outcome;
     finish_attempt(now, attempt->second, finished, out);
     erase(attempt);
   }
@@ -363,13 +375,12 @@
   if (it == connections_.end()) return;
   counters_.add("servers.connections_lost");
   Server* server = find_server(it->second.server);
+  // Bytes that the server had written are lost by a reset, and only by that.
+  if (server != nullptr && event.reset)
+    server->watch.connection_closed(may_receive_releases(*server, event.conn.number));
   close_connection(now, event.conn.number, true, event.reset ? "reset_by_server" : "closed_by_server", out);
   if (server == nullptr) return;
-  if (!server->current) {
-    const bool any_up = std::any_of(server->connections.begin(), server->connections.end(),
-                                    [&](std::uint32_t number) { return connections_.at(number).up; });
-    if (!any_up && !server->lost_at) server->lost_at = now;
-  }
+  if (!has_open_connection(*server)) server->watch.last_connection_lost(now);
   maintain_server(now, *server, out);
 }
 
@@ -385,7 +396,8 @@
     return "connection_closed server=" + name_of(it->second.server) + " conn=" + std::to_string(conn) +
            " reason=" + std::string(reason) + " outstanding=" + std::to_string(it->second.outstanding.size());
   });
-  if (Server* server = find_server(it->second.server)) {
+  Server* server = find_server(it->second.server);
+  if (server != nullptr) {
     if (server->current == conn) server->current.reset();
     if (server->connecting == conn) server->connecting.reset();
     server->connections.erase(conn);
@@ -400,6 +412,7 @@
     finish_attempt(now, attempt, finished, out);
     enter_state(now, attempt, AttemptState::finished);
   }
+  if (server != nullptr && server->address_reassigned) end_calls_without_connection(now, *server, out);
 }
 
 void SetupServers::handle_malformed(Time now, std::uint32_t conn, const std::string& error, Outbox& out) {
@@ -421,53 +434,52 @@
 void SetupServers::drop_connection(Time now, std::uint32_t conn, std::string_view reason, Outbox& out) {
   const auto it = connections_.find(conn);
   Server* server = it == connections_.end() ? nullptr : find_server(it->second.server);
-  const bool releases_expected = server != nullptr && may_receive_releases(*server, conn);
+  // The server repeats a release that was not read here on the next connection opened, and only there.
+  if (server != nullptr) server->watch.connection_closed(may_receive_releases(*server, conn));
   // Dropped at once instead of read until the peer closes it: until then the server would go on sending
   // releases on it, which would be discarded.
   out.drop({net::Concern::server, conn});
   close_connection(now, conn, true, reason, out);
-  if (server == nullptr) return;
-  maintain_server(now, *server, out);
-  // The server repeats a release that was not read here on the next connection opened, and only there.
-  // Without a new connection, while another one is current already, the caller would never get its release.
-  if (!releases_expected || !server->current || server->connecting) return;
-  // No other connection is closed to stay within the limit: a message from it may be in processing.
-  if (count_connections(*server, true) < kMaxNotificationConnections) connect(now, *server, out, true);
-}
-
-// Keeps a connection to the server open and detects that the server vanished or died.
+  if (server != nullptr) maintain_server(now, *server, out);
+}
+
+bool SetupServers::has_open_connection(const Server& server) const {
+  return std::ranges::any_of(server.connections,
+                             [this](std::uint32_t number) { return connections_.at(number).up; });
+}
+
+ServerSituation SetupServers::situation_of(Time now, const Server& server) const {
+  ServerSituation situation;
+  situation.listed = server.endpoint.state;
+  situation.address_reassigned = server.address_reassigned;
+  situation.has_attempts = !server.attempts.empty();
+  situation.has_live_attempts = server.live_attempts > 0;
+  situation.has_established_calls = server.established_calls > 0;
+  situation.may_have_former_calls =
+      now - started_at_ < kFormerCallsTimeout &&
+      (server.endpoint.state != ServerState::terminated || !server.connections.empty() ||
+       removed_server_connects_ < kMaxRemovedServerConnects);
+  situation.has_current_connection = server.current.has_value();
+  situation.has_open_connection = has_open_connection(server);
+  situation.connecting = server.connecting.has_value();
+  situation.response_overdue = is_response_overdue(now, server);
+  situation.setup_connections_full = count_connections(server, false) >= kMaxConnections;
+  situation.notification_connections_full = count_connections(server, true) >= kMaxNotificationConnections;
+  return situation;
+}
+
+// Keeps a connection to the server open for as long as its calls or new setups need one, and ends its calls
+// if their releases can no longer arrive.
 void SetupServers::maintain_server(Time now, Server& server, Outbox& out) {
-  if (server.endpoint.state == ServerState::terminated) return;
-  const bool has_calls = !server.attempts.empty();
-  const bool response_overdue = is_response_overdue(now, server);
-  const bool unresponsive =
-      has_calls && (now - server.last_received_at > kIdleSuspicionTimeout || response_overdue);
-  const bool connection_needed = server.endpoint.state == ServerState::in_service || has_calls;
-  if (connection_needed && !server.connecting && now >= server.next_connect &&
-      (!server.current || (unresponsive && count_connections(server, false) < kMaxConnections))) {
-    connect(now, server, out);
-    // A live server that has nothing to send is not connected to in every tick. A server with an overdue
-    // response may become unresponsive on the new connection too; with the longer delay for it, callers got
-    // their releases later than the 1 s that is allowed.
-    if (server.current)
-      server.next_connect = now + (response_overdue ? kSuspicionRetryDelay : kIdleSuspicionTimeout);
-  }
-  if (has_calls && server.unreachable_since) end_calls_of_lost_server(now, server, out);
-}
-
-void SetupServers::end_calls_of_lost_server(Time now, Server& server, Outbox& out) {
-  const Duration unreachable = now - *server.unreachable_since;
-  const bool vanished =
-      now - server.last_received_at > kVanishedTimeout && unreachable > 2 * kIdleSuspicionTimeout;
-  const bool died =
-      server.lost_at && server.last_connect_refused && now - *server.lost_at > kProcessDeathTimeout;
-  if (!vanished && !died) return;
-  counters_.add(died ? "servers.died" : "servers.vanished");
-  out.log(net::Level::warning, "setup server " + server.endpoint.uid + (died ? " died" : " vanished") +
-                                   ": ending its established calls");
-  end_established_calls(now, server, {}, out);
-  server.last_received_at = now;
-  server.lost_at.reset();
+  const ServerSituation situation = situation_of(now, server);
+  if (server.current && !ServerWatch::keeps_connections(situation)) clear_current_connection(server);
+  if (const auto due = server.watch.due_connect(now, situation)) connect(now, server, *due, out);
+  if (const auto reason = server.watch.calls_over(now, situation)) {
+    counters_.add(*reason == LostServerReason::died ? "servers.died" : "servers.vanished");
+    out.log(net::Level::warning, "setup server " + server.endpoint.uid + " " +
+                                     std::string(to_string(*reason)) + ": ending its established calls");
+    end_established_calls(now, server, {}, out);
+  }
 }
 
 // Whether a setup on the server's current connection is outstanding for longer than the expected response
@@ -561,6 +573,8 @@
     const Server* server = find_server(connection.server);
     if (!connection.outstanding.empty()) continue;
     const bool releases_expected = server != nullptr && may_receive_releases(*server, number);
+    // No connection can replace it.
+    if (releases_expected && server->address_reassigned) continue;
     if (connection.notifications_only &&
         now - connection.last_received_at <
             (releases_expected ? kNotificationReplaceTimeout : kNotificationIdleTimeout))
@@ -578,8 +592,9 @@
   for (const ServerId id : std::vector<ServerId>(servers_to_maintain_.begin(), servers_to_maintain_.end())) {
     Server& server = servers_.at(id);
     maintain_server(now, server, out);
-    if (server.endpoint.state == ServerState::terminated || (server.current && server.attempts.empty()))
-      servers_to_maintain_.erase(id);
+    const bool settled = server.endpoint.state == ServerState::terminated ? server.connections.empty()
+                                                                          : server.current.has_value();
+    if (settled && server.attempts.empty()) servers_to_maintain_.erase(id);
   }
 }
 
@@ -587,17 +602,28 @@
 // `established_before`.
 void SetupServers::end_established_calls(Time now, Server& server, std::optional<Time> established_before,
                                          Outbox& out) {
+  end_calls_if(now, server, out, [&](const UpstreamAttempt& attempt) {
+    return !established_before || attempt.state_since < *established_before;
+  });
+}
+
+void SetupServers::end_calls_without_connection(Time now, Server& server, Outbox& out) {
+  end_calls_if(now, server, out,
+               [this](const UpstreamAttempt& attempt) { return !connections_.contains(attempt.conn); });
+}
+
+// The attempts are retained as finished: the server may still send their releases, which must not be
+// forwarded to the callers once more.
+template <class Predicate>
+void SetupServers::end_calls_if(Time now, Server& server, Outbox& out, Predicate is_over) {
   for (const AttemptKey& key : std::set<AttemptKey>(server.attempts)) {
-    const auto it = attempts_.find(key);
-    const UpstreamAttempt& attempt = it->second;
-    if (attempt.state != AttemptState::established ||
-        (established_before && attempt.state_since >= *established_before))
-      continue;
+    UpstreamAttempt& attempt = attempts_.at(key);
+    if (attempt.state != AttemptState::established || !is_over(attempt)) continue;
     core::AttemptFinished finished;
     finished.outcome = Outcome::reset;
     finished.cause = kCauseTemporaryFailure;
     finish_attempt(now, attempt, finished, out);
-    erase(it);
+    enter_state(now, attempt, AttemptState::finished);
   }
 }
 
@@ -612,6 +638,8 @@
   };
   if (Server* server = find_server(attempt.server)) {
     if (attempt.state == AttemptState::queued) update_set(server->queued, key);
+    if (attempt.state != AttemptState::finished) server->live_attempts += insert ? 1 : -1;
+    if (attempt.state == AttemptState::established) server->established_calls += insert ? 1 : -1;
     if (attempt.state == AttemptState::sent)
       update_set(server->outstanding, std::pair(attempt.state_since, key));
   }
@@ -661,8 +689,10 @@
   server->attempts.insert(key);
   servers_to_maintain_.insert(server->id);
   update_indexes(it->second, true);
+  if (server->endpoint.state != ServerState::in_service)
+    return fail_queued(now, *server, Outcome::not_sent, out);
   if (server->current) return send_invite(now, *server, it->second, out);
-  if (!server->connecting) connect(now, *server, out);
+  if (!server->connecting) connect(now, *server, DueConnect{}, out);
 }
 
 void SetupServers::send_invite(Time now, Server& server, UpstreamAttempt& attempt, Outbox& out) {
@@ -740,8 +770,7 @@
     if (it == connections_.end()) return;
     it->second.last_received_at = now;
     if (Server* server = find_server(it->second.server)) {
-      server->last_received_at = now;
-      server->unreachable_since.reset();
+      server->watch.input_received(now);
     }
     const sip::ReadResult read = sip::read_stream(event.bytes.substr(used));
     used += read.used;
--- a/src/upstream/setup_servers.h
+++ b/src/upstream/setup_servers.h
@@ -17,6 +17,7 @@
 #include "core/deadline_queue.h"
 #include "net/outbox.h"
 #include "upstream/directory.h"
+#include "upstream/server_watch.h"
 
 namespace graniterun::upstream {
 
@@ -89,28 +90,32 @@
     ServerId id{};
     std::optional<std::uint32_t> current{};     // the connection for new setups
     std::optional<std::uint32_t> connecting{};  // the one connect in progress
-    bool connect_attempted = false;
-    Time last_received_at{};                  // last byte on any of its connections
-    std::optional<Time> unreachable_since{};  // first of an unbroken run of failed connects
-    bool last_connect_refused = false;        // the last connect failed with connection refused
-    std::optional<Time> lost_at{};            // when its last open connection broke; none has come up since
-    Time next_connect{};
+    ServerWatch watch{};
+    bool address_reassigned = false;   // removed, and another listed server has its address
     Duration slowest_response{};       // decaying maximum of the response time to an INVITE
     int response_count = 0;            // responses seen, up to kMinResponsesForEstimate
     Duration notification_interval{};  // decaying maximum of the time between its NOTIFYs
     std::set<AttemptKey> attempts{};   // every attempt at it
     std::set<AttemptKey> queued{};     // attempts that wait for a connection
+    int live_attempts = 0;             // in any state but `finished`
+    int established_calls = 0;
     std::set<std::pair<Time, AttemptKey>> outstanding{};  // attempts in state `sent`, by send time
     std::set<std::uint32_t> connections{};                // open or being opened
   };
 
   Server* find_server(ServerId id);
-  void connect(Time now, Server& server, Outbox& out, bool notifications_only = false);
+  void connect(Time now, Server& server, const DueConnect& due, Outbox& out);
+  ServerSituation situation_of(Time now, const Server& server) const;
+  bool has_open_connection(const Server& server) const;
   void send_invite(Time now, Server& server, UpstreamAttempt& attempt, Outbox& out);
   using ServersByAddress = std::unordered_map<std::string, std::vector<ServerId>>;
   void update_endpoint(Time now, ServerId id, const Endpoint& endpoint, ServersByAddress& by_address,
                        Outbox& out);
-  void end_calls_of_lost_server(Time now, Server& server, Outbox& out);
+  void update_reassignment(Time now, Server& server, const ServersByAddress& by_address, Outbox& out);
+  void fail_queued(Time now, Server& server, Outcome outcome, Outbox& out);
+  void end_calls_without_connection(Time now, Server& server, Outbox& out);
+  template <class Predicate>
+  void end_calls_if(Time now, Server& server, Outbox& out, Predicate is_over);
   void maintain_server(Time now, Server& server, Outbox& out);
   void maintain_servers(Time now, Outbox& out);
   void clear_current_connection(Server& server);
@@ -137,7 +142,7 @@
   static bool is_invite_success(const sip::Message& message);
   Attempts::iterator find_attempt(std::uint32_t conn, const sip::Message& message);
   void send(UpstreamAttempt& attempt, const sip::Message& message, Outbox& out);
-  void withdraw_invites(const Server& server, Outbox& out);
+  void withdraw_setups(Time now, Server& server, Outbox& out);
   void update_readiness(Time now);
 
   Duration connect_timeout_;
@@ -157,6 +162,7 @@
   DeadlineQueue<AttemptKey> state_deadlines_;  // ends of the states `abandoned` and `finished`
   std::uint32_t last_connection_ = 0;
   std::uint64_t last_ticket_ = 0;
+  std::size_t removed_server_connects_ = 0;  // to removed servers without calls of this process
   Time started_at_{};
   bool ready_ = false;
 };
