Test releases of calls in every state of server, list and process

The test bed gets processes that stop and start again, callers that come again, and a runner that plays trials side by side in processes of their own. Thirteen trials: the server is removed before or after the call is established, then serves on, closes or resets, writes noise, stops, vanishes, hangs or gives its address to another server; discovery is down; server or gatekeeper starts again; a setup waits for its connection.

--- a/lab/call_testbed.h
+++ b/lab/call_testbed.h
@@ -37,6 +37,8 @@
   std::optional<TimePoint> bye_sent{};     // the server's first BYE
   std::optional<TimePoint> released{};     // the caller read the release of the established call
   int final_answers = 0;
+  bool crossed_close = false;   // sent within 50 ms before the gatekeeper closed the connection
+  bool before_restart = false;  // established by an earlier process of the gatekeeper
 };
 
 // A connection that is read without blocking.
@@ -122,7 +124,7 @@
   std::size_t last_connection_ = 0;
   std::map<std::string, ServedCall> unanswered_{};
   std::map<std::string, ServedCall> established_{};
-  std::vector<std::string> byes_to_repeat_{};  // sent again on the next connection
+  std::vector<std::pair<std::string, std::string>> byes_to_repeat_{};  // id and BYE, for the next connection
   bool answers_at_once_ = false;
   std::optional<Clock::duration> holding_time_{};
   bool frozen_ = false;
@@ -155,15 +157,18 @@
   // Starts the gatekeeper with the endpoint list as published so far, and waits until it is ready.
   void start_gatekeeper();
   void signal_gatekeeper(int number) { gatekeeper_->signal(number); }
-  // Waits for the end of the process; its exit status.
-  int await_exit() { return gatekeeper_->exit_status(); }
+  // SIGTERM; serves the stand-ins until the process has ended; its exit status.
+  int stop_gatekeeper();
+  bool gatekeeper_running() const { return running_; }
   std::string log() const { return former_logs_ + (gatekeeper_ ? gatekeeper_->log() : ""); }
 
-  // Sends a setup on a caller's connection; returns the id of the call.
+  // Sends a setup on a caller's connection; returns the id of the call. Opens a connection if there is none;
+  // returns an empty id if the gatekeeper accepts none.
   std::string place_call(Clock::duration time_left, int destination = 0);
   const CallHistory& history(const std::string& id) const { return calls_.at(id); }
   const std::map<std::string, CallHistory>& calls() const { return calls_; }
   void close_callers();  // the next one is opened when it is needed
+  bool has_caller() const { return !callers_.empty(); }
 
   // Serves the stand-ins until the condition holds; false if it does not within the time limit.
   bool run_until(const std::function<bool()>& condition, Clock::duration limit);
@@ -176,14 +181,21 @@
   std::string describe(const CallHistory& call) const;
 
   CallHistory& record(const std::string& id) { return calls_.at(id); }
+  // A server has written a release of the call.
+  void record_bye(const std::string& id);
   bool knows(const std::string& id) const { return calls_.contains(id); }
 
  private:
+  struct Caller {
+    std::unique_ptr<StreamPeer> peer;
+    std::set<std::string> unanswered{};
+  };
   void serve();
   void serve_discovery();
   void serve_callers();
-  void handle_caller_line(StreamPeer& caller, const jsonl::Message& message);
-  StreamPeer& open_caller();
+  void handle_caller_line(Caller& caller, const jsonl::Message& message);
+  void handle_closed_caller(const Caller& caller);
+  bool open_caller();
   std::string event_of(const std::set<std::string>& uids, bool complete) const;
   nlohmann::json target_of(const std::string& uid) const;
 
@@ -208,7 +220,9 @@
   std::vector<Watch> watches_{};
   std::optional<test::Program> gatekeeper_{};
   std::string former_logs_{};
-  std::vector<std::unique_ptr<StreamPeer>> callers_{};
+  std::vector<Caller> callers_{};
+  bool running_ = false;
+  TimePoint gatekeeper_started_at_{};
   std::map<std::string, CallHistory> calls_{};
   std::multimap<TimePoint, std::function<void()>> scheduled_{};
   std::uint64_t last_call_ = 0;
--- a/tests/stand_in.h
+++ b/tests/stand_in.h
@@ -208,6 +208,12 @@
   }
   void signal(int number) const { ::kill(pid_, number); }
   int pid() const { return pid_; }
+  // Whether the process has ended; its status is still to be waited for.
+  bool has_exited() const {
+    siginfo_t info{};
+    return ::waitid(P_PID, static_cast<id_t>(pid_), &info, WEXITED | WNOHANG | WNOWAIT) == 0 &&
+           info.si_pid == pid_;
+  }
   int exit_status() {
     int status = 0;
     CHECK_EQ(::waitpid(std::exchange(pid_, -1), &status, 0) > 0, true);
