SIP trunk: end an established call by any BYE, and not by a failed connect

What callers saw: a BYE with cause 0 was answered 200 and its caller got no release; by reading, a later connect to the server that failed ended the call as if its server were lost. Cause: finish_attempt() took an end with cause 0 for a lost connection, and did not know Outcome::no_connection (src/upstream/sip_trunk.cpp).

--- a/src/upstream/sip_trunk.cpp
+++ b/src/upstream/sip_trunk.cpp
@@ -150,7 +150,8 @@
 void SipTrunk::on(Time now, const net::ConnectFailed& event, Outbox& out) {
   const std::string peer = transport_.connect_failed(event.conn.number);
   for (auto& [id, attempt] : attempts_) {
-    if (attempt.flow.peer == peer && !attempt.provisional_received)
+    // An established call outlives its connections.
+    if (attempt.flow.peer == peer && attempt.state != State::established && !attempt.provisional_received)
       finish_attempt(now, attempt, finished_with(Outcome::no_connection), out);
   }
 }
@@ -158,7 +159,7 @@
 void SipTrunk::on(Time now, const net::Closed& event, Outbox& out) {
   const std::string peer = transport_.closed(event.conn.number);
   for (auto& [id, attempt] : attempts_) {
-    if (!peer.empty() && attempt.flow.peer == peer)
+    if (!peer.empty() && attempt.flow.peer == peer && attempt.state != State::established)
       finish_attempt(now, attempt, finished_with(Outcome::reset), out);
   }
 }
@@ -453,9 +454,6 @@
 void SipTrunk::finish_attempt(Time now, UpstreamAttempt& attempt, core::AttemptFinished finished,
                               Outbox& out) {
   if (attempt.broker_notified) return;
-  const bool connection_lost =
-      finished.outcome == Outcome::reset && finished.cause == 0 && attempt.state == State::established;
-  if (connection_lost) return;  // an established call outlives its connection
   attempt.broker_notified = true;
   enter_state(now, attempt, attempt.state == State::abandoned ? State::abandoned : State::finished);
   finished.call = attempt.request->call;
--- a/tests/trunk_test.cpp
+++ b/tests/trunk_test.cpp
@@ -344,6 +344,31 @@
   }
 }
 
+// Establishes the call "aa" at the first server; returns its INVITE.
+sip::Message establish_at_first_server(TrunkLab& lab) {
+  lab.call();
+  const sip::Message invite = lab.take_one();
+  lab.receive_from(kServers[0], answer(invite, 200, kContact, "answer"));
+  lab.take_datagrams_to_servers();
+  lab.lines(kCaller);
+  return invite;
+}
+
+std::size_t count_releases(TrunkLab& lab) {
+  const auto lines = lab.lines(kCaller);
+  return static_cast<std::size_t>(
+      std::count_if(lines.begin(), lines.end(), [](const auto& line) { return line.type == "release"; }));
+}
+
+// A BYE ends the call whatever its cause: one with cause 0 was taken for a lost connection.
+void bye_with_cause_zero_releases_call() {
+  TrunkLab lab;
+  std::string text = bye(establish_at_first_server(lab));
+  text.replace(text.find("cause=16"), 8, "cause=0");
+  lab.receive_from(kServers[0], text);
+  CHECK_EQ(count_releases(lab), 1U);
+}
+
 // Guards the deadline that is sent to a server: at most the caller's time left plus 0.15 s, in either header,
 // over both transports and after a wait for the connection. It fails if Expires is rounded up to whole
 // seconds, or if an INVITE that waited for its connection has the time left at the begin of the wait.
@@ -378,6 +403,7 @@
 
 int main() {
   time_left_sent_to_server_never_exceeds_the_callers();
+  bye_with_cause_zero_releases_call();
   invite_waiting_for_connection_is_withdrawn();
   unwritten_invite_is_withdrawn();
   invite_to_draining_server_is_withdrawn();
