SIP trunk: probe the dialogs of silent servers and end those that are lost

What callers saw: a call at a trunk server that vanished was never released, and one that was established after its server's removal neither; a call at a removed server that went on was cut. Cause: the trunk had no watch at all, only the list's removal ended calls, and only those established at that moment. Change: DialogWatch, pure and listed under policy, has an established dialog of a server that is silent for 1.2 s probed by an in-dialog OPTIONS; 481 and 408 end the dialog, 5 s of silence all dialogs of the server, whatever the list says. Turned down: probes outside dialogs (a restarted server would answer them), session timers of RFC 4028 (90 s at least).

--- a/src/upstream/sip_trunk.cpp
+++ b/src/upstream/sip_trunk.cpp
@@ -14,7 +14,8 @@
 // How long a finished attempt is retained to match late messages. A success that came later would be a
 // retransmission of one sent 64 T1 before.
 constexpr Duration kFinishedRetention = 2 * sip::k64T1;
-constexpr int kCauseNormalClearing = 16;
+constexpr int kCauseNormalClearing = 16;  // Q.850
+constexpr int kCauseTemporaryFailure = 41;
 // By how much a deadline that is sent to a server may exceed the caller's.
 constexpr std::chrono::milliseconds kExpiresSlack{150};
 
@@ -92,14 +93,11 @@
     const ServerId id = directory_.find_or_assign_id(endpoint.uid);
     const auto [it, inserted] = endpoints_.try_emplace(id, endpoint);
     if (!inserted && endpoint.started && it->second.started != endpoint.started)
-      end_established_calls(now, id, endpoint.started, out);
+      end_calls_before_restart(now, id, *endpoint.started, out);
     it->second = endpoint;
     update.entries.push_back(directory_.make_entry(id, endpoint));
   }
   out.notify_broker(core::ServersChanged{std::move(update)});
-  for (const auto& [id, endpoint] : endpoints_) {
-    if (endpoint.state == ServerState::terminated) end_established_calls(now, id, {}, out);
-  }
   // Withdraws INVITEs that are not written yet, since a server that is not in service must get no new setups.
   if (!settings_.reliable) return;
   for (auto it = attempts_.begin(); it != attempts_.end();) {
@@ -150,7 +148,7 @@
 void SipTrunk::on(Time now, const net::ConnectFailed& event, Outbox& out) {
   const std::string peer = transport_.connect_failed(event.conn.number);
   for (auto& [id, attempt] : attempts_) {
-    // An established call outlives its connections.
+    // An established call outlives its connections; DialogWatch ends it if its server is lost.
     if (attempt.flow.peer == peer && attempt.state != State::established && !attempt.provisional_received)
       finish_attempt(now, attempt, finished_with(Outcome::no_connection), out);
   }
@@ -185,6 +183,7 @@
     return;
   }
   out.arm(net::Concern::trunk, kTickTimer, now + kTickInterval);
+  check_dialogs(now, out);
   while (const auto call_id = state_deadlines_.pop_due(now)) {
     UpstreamAttempt& attempt = attempts_.at(*call_id);
     if (attempt.state == State::abandoned && !attempt.broker_notified) {
@@ -195,7 +194,30 @@
   }
 }
 
+void SipTrunk::check_dialogs(Time now, Outbox& out) {
+  const DialogWatch::Decision decision = watch_.check(now);
+  for (const std::string& call_id : decision.probes) {
+    UpstreamAttempt& attempt = attempts_.at(call_id);
+    counters_.add("trunk.dialogs_probed");
+    transactions_.send_request(now, attempt.flow,
+                               make_dialog_request(attempt, "OPTIONS", ++attempt.local_cseq), out);
+  }
+  for (const std::string& call_id : decision.over) end_lost_dialog(now, attempts_.at(call_id), "silent", out);
+}
+
+// Ends an established call whose server can't release it. A server that lives after all gets a BYE.
+void SipTrunk::end_lost_dialog(Time now, UpstreamAttempt& attempt, std::string_view reason, Outbox& out) {
+  counters_.add("trunk.dialogs_lost");
+  out.log(net::Level::warning, "setup server " + name_of(attempt.server) + ": ending call " +
+                                   attempt.request->correlation_id + ", reason=" + std::string(reason));
+  send_bye(now, attempt, kCauseTemporaryFailure, out);
+  core::AttemptFinished finished = finished_with(Outcome::reset);
+  finished.cause = kCauseTemporaryFailure;
+  finish_attempt(now, attempt, finished, out);
+}
+
 void SipTrunk::erase(Attempts::iterator it) {
+  watch_.ended(it->second.server, it->first);
   by_transaction_.erase(it->second.transaction);
   withdrawals_.erase(it->second.ticket);
   state_deadlines_.clear(it->first);
@@ -204,9 +226,11 @@
 
 // Changes the state, and sets the deadline of the states `abandoned` and `finished`, which end by themselves.
 void SipTrunk::enter_state(Time now, UpstreamAttempt& attempt, State state) {
+  const std::string call_id(attempt.invite.header("Call-ID"));
+  if (attempt.state == State::established) watch_.ended(attempt.server, call_id);
   attempt.state = state;
   attempt.state_since = now;
-  const std::string call_id(attempt.invite.header("Call-ID"));
+  if (state == State::established) watch_.established(now, attempt.server, call_id);
   state_deadlines_.clear(call_id);
   if (state == State::finished || state == State::abandoned)
     state_deadlines_.set(call_id,
@@ -360,7 +384,10 @@
   if (transactions_.receive_response(now, message, out).empty()) return;
   const auto cseq = sip::cseq_of(message);
   UpstreamAttempt* attempt = find_attempt(message.header("Call-ID"));
-  if (attempt == nullptr || !cseq || cseq->method != "INVITE") return;
+  if (attempt == nullptr || !cseq) return;
+  watch_.message_received(now, attempt->server);
+  if (cseq->method == "OPTIONS") return handle_probe_response(now, *attempt, message.status, out);
+  if (cseq->method != "INVITE") return;
   if (message.status < 200) {
     attempt->provisional_received = true;
     if (attempt->state == State::abandoned) send_cancel(now, *attempt, out);
@@ -411,6 +438,13 @@
   }
 }
 
+// Response to the probe of a dialog. 481 and 408 end the dialog (§12.2.1.2).
+void SipTrunk::handle_probe_response(Time now, UpstreamAttempt& attempt, int status, Outbox& out) {
+  if (attempt.state != State::established || (status != 481 && status != 408)) return;
+  end_lost_dialog(now, attempt, "dialog_unknown", out);
+  watch_.dialog_unknown(attempt.server);
+}
+
 void SipTrunk::handle_request(Time now, const sip::Flow& flow, const sip::Message& message, Outbox& out) {
   std::string key;
   if (message.header("Via").empty() || !sip::cseq_of(message)) {
@@ -424,6 +458,7 @@
                           out);
   };
   UpstreamAttempt* attempt = find_attempt(message.header("Call-ID"));
+  if (attempt != nullptr) watch_.message_received(now, attempt->server);
   const bool in_known_dialog =
       attempt != nullptr &&
       sip::parameter(message.header("To"), "tag") == sip::parameter(attempt->invite.header("From"), "tag");
@@ -461,13 +496,13 @@
   out.notify_broker(finished);
 }
 
-void SipTrunk::end_established_calls(Time now, ServerId server, std::optional<Time> established_before,
-                                     Outbox& out) {
+void SipTrunk::end_calls_before_restart(Time now, ServerId server, Time restarted_at, Outbox& out) {
   for (auto& [id, attempt] : attempts_) {
-    if (attempt.server != server || attempt.state != State::established) continue;
-    if (established_before && attempt.state_since >= *established_before) continue;
+    if (attempt.server != server || attempt.state != State::established ||
+        attempt.state_since >= restarted_at)
+      continue;
     core::AttemptFinished finished = finished_with(Outcome::reset);
-    finished.cause = 41;
+    finished.cause = kCauseTemporaryFailure;
     finish_attempt(now, attempt, finished, out);
   }
 }
--- a/src/upstream/sip_trunk.h
+++ b/src/upstream/sip_trunk.h
@@ -14,6 +14,7 @@
 #include "core/random_id.h"
 #include "net/outbox.h"
 #include "sip/transactions.h"
+#include "upstream/dialog_watch.h"
 #include "upstream/directory.h"
 
 namespace graniterun::upstream {
@@ -87,7 +88,10 @@
   sip::Message make_dialog_request(UpstreamAttempt& attempt, const std::string& method, std::uint32_t cseq);
   void enter_state(Time now, UpstreamAttempt& attempt, State state);
   void send_bye(Time now, UpstreamAttempt& attempt, int cause, Outbox& out);
-  void end_established_calls(Time now, ServerId server, std::optional<Time> established_before, Outbox& out);
+  void end_calls_before_restart(Time now, ServerId server, Time restarted_at, Outbox& out);
+  void check_dialogs(Time now, Outbox& out);
+  void end_lost_dialog(Time now, UpstreamAttempt& attempt, std::string_view reason, Outbox& out);
+  void handle_probe_response(Time now, UpstreamAttempt& attempt, int status, Outbox& out);
   UpstreamAttempt* find_attempt(std::string_view call_id);
   std::string call_id_of(const core::Request& request, int attempt) const {
     return request.correlation_id + "-" + std::to_string(attempt) + "@" + settings_.address;
@@ -101,6 +105,7 @@
   sip::Transactions transactions_;
   std::map<ServerId, Endpoint> endpoints_;
   Attempts attempts_;
+  DialogWatch watch_;
   std::unordered_map<std::string, std::string> by_transaction_;  // Call-ID by INVITE transaction
   std::unordered_map<std::uint64_t, std::string> withdrawals_;  // Call-ID by ticket of a requested withdrawal
   std::uint64_t last_ticket_ = 0;
--- a/tests/trunk_test.cpp
+++ b/tests/trunk_test.cpp
@@ -354,12 +354,79 @@
   return invite;
 }
 
+void list_server(TrunkLab& lab, const std::string& state) {
+  const ConnId discovery{Concern::discovery, 1};
+  lab.deliver(net::Connected{discovery});
+  lab.receive(discovery,
+              "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\nid: 4\ndata: "
+              R"({"pos":4,"hosts":{"rev":2,"all":false,"targets":[{"uid":"s0","endpoint":"127.0.0.1:9000",)"
+              R"("az":"","pod_group":0,"state":")" +
+                  state + R"(","boot_ms":0}]}})" + "\n\n");
+}
+
 std::size_t count_releases(TrunkLab& lab) {
   const auto lines = lab.lines(kCaller);
   return static_cast<std::size_t>(
       std::count_if(lines.begin(), lines.end(), [](const auto& line) { return line.type == "release"; }));
 }
 
+// A call whose server vanishes is released within 8 s of its end, in every state of the endpoint list.
+// Nothing watched it: it stayed established for good unless the list told the removal.
+void call_at_vanished_server_is_released_in_every_state_of_the_list() {
+  for (const std::string state : {"ready", "draining", "gone"}) {
+    TrunkLab lab;
+    establish_at_first_server(lab);
+    list_server(lab, state);
+    lab.advance(1s);
+    CHECK_EQ(count_releases(lab), 0U);
+    lab.advance(7s);
+    CHECK_EQ(count_releases(lab), 1U);
+  }
+}
+
+// A removed server that goes on serving answers the probes: its call stands until its BYE.
+void call_at_removed_server_stands_until_its_release() {
+  TrunkLab lab;
+  const sip::Message invite = establish_at_first_server(lab);
+  list_server(lab, "gone");
+  std::size_t probes = 0;
+  for (int i = 0; i < 100; ++i) {
+    lab.advance(100ms);
+    for (const auto& [peer, request] : lab.take_datagrams_to_servers()) {
+      CHECK_EQ(request.method, "OPTIONS");
+      CHECK_EQ(request.header("Call-ID"), invite.header("Call-ID"));
+      lab.receive_from(peer, answer(request, 200));
+      ++probes;
+    }
+  }
+  CHECK(probes > 0);
+  CHECK_EQ(count_releases(lab), 0U);
+  lab.receive_from(kServers[0], bye(invite));
+  CHECK_EQ(count_releases(lab), 1U);
+}
+
+// The INVITE is outstanding when the list removes its server.
+void call_established_after_removal_of_its_server_is_released() {
+  TrunkLab lab;
+  lab.call();
+  const sip::Message invite = lab.take_one();
+  list_server(lab, "gone");
+  lab.receive_from(kServers[0], answer(invite, 200, kContact, "answer"));
+  CHECK_EQ(lab.lines(kCaller).at(0).type, "answer");
+  lab.advance(8s);
+  CHECK_EQ(count_releases(lab), 1U);
+}
+
+// A server that has started again does not know the dialogs from before.
+void call_unknown_to_its_restarted_server_is_released() {
+  TrunkLab lab;
+  establish_at_first_server(lab);
+  lab.advance(1300ms);
+  const sip::Message probe = lab.take_one("127.0.0.1:9000");
+  lab.receive_from(kServers[0], answer(probe, 481));
+  CHECK_EQ(count_releases(lab), 1U);
+}
+
 // A BYE ends the call whatever its cause: one with cause 0 was taken for a lost connection.
 void bye_with_cause_zero_releases_call() {
   TrunkLab lab;
@@ -369,6 +436,24 @@
   CHECK_EQ(count_releases(lab), 1U);
 }
 
+// A connect that fails later says nothing about a call that is established.
+void failed_connect_does_not_end_established_call() {
+  TrunkLab lab("tcp");
+  lab.call();
+  const ConnId conn = lab.connects.back().conn;
+  lab.deliver(net::Connected{conn});
+  const sip::Message invite = lab.messages(conn).at(0);
+  lab.receive(conn, answer(invite, 200, kContact, "answer"));
+  lab.lines(kCaller);
+  lab.deliver(net::Closed{conn, true});
+  lab.advance(1300ms);  // the probe opens a connection
+  CHECK(!(lab.connects.back().conn == conn));
+  lab.deliver(net::ConnectFailed{lab.connects.back().conn, true, false});
+  CHECK_EQ(count_releases(lab), 0U);
+  lab.advance(5s);
+  CHECK_EQ(count_releases(lab), 1U);
+}
+
 // Guards the deadline that is sent to a server: at most the caller's time left plus 0.15 s, in either header,
 // over both transports and after a wait for the connection. It fails if Expires is rounded up to whole
 // seconds, or if an INVITE that waited for its connection has the time left at the begin of the wait.
@@ -403,7 +488,12 @@
 
 int main() {
   time_left_sent_to_server_never_exceeds_the_callers();
+  call_at_vanished_server_is_released_in_every_state_of_the_list();
+  call_at_removed_server_stands_until_its_release();
+  call_established_after_removal_of_its_server_is_released();
+  call_unknown_to_its_restarted_server_is_released();
   bye_with_cause_zero_releases_call();
+  failed_connect_does_not_end_established_call();
   invite_waiting_for_connection_is_withdrawn();
   unwritten_invite_is_withdrawn();
   invite_to_draining_server_is_withdrawn();
