End calls at a removed server that hangs for good; drop silent connections together

What callers would see: a server that is removed while it hangs never sends a release, and its kernel accepts every connect, which counted as a sign of life: their calls had no end. For a removed server, and for one whose address is another's, only bytes count now (its first NOTIFY comes with each connection).

--- a/src/upstream/server_watch.cpp
+++ b/src/upstream/server_watch.cpp
@@ -67,6 +67,7 @@
 
 void ServerWatch::input_received(Time now) {
   last_sign_of_life_ = now;
+  last_input_at_ = now;
   unreachable_since_.reset();
 }
 
@@ -122,7 +123,7 @@
 std::optional<LostServerReason> ServerWatch::calls_over(Time now, const ServerSituation& situation) const {
   if (!situation.has_established_calls) return {};
   if (situation.address_reassigned) {
-    const bool lost = !situation.has_open_connection || silence(now) > kVanishedTimeout;
+    const bool lost = !situation.has_open_connection || now - last_input_at_ > kVanishedTimeout;
     return lost ? std::optional(LostServerReason::address_reassigned) : std::nullopt;
   }
   if (last_connect_refused_ && !situation.has_open_connection) {
@@ -132,7 +133,10 @@
   if (unreachable_since_ && silence(now) > kVanishedTimeout &&
       now - *unreachable_since_ > 2 * kIdleSuspicionTimeout)
     return LostServerReason::vanished;
-  if (silence(now) > kMaxSilence) return LostServerReason::silent;
+  // The kernel of a hung process accepts connections. A listed server may resume, a removed one is given up.
+  const Duration silence_of_process =
+      situation.listed == ServerState::terminated ? now - last_input_at_ : silence(now);
+  if (silence_of_process > kMaxSilence) return LostServerReason::silent;
   return {};
 }
 
--- a/src/upstream/server_watch.h
+++ b/src/upstream/server_watch.h
@@ -77,7 +77,8 @@
   bool needs_connection(const ServerSituation& situation) const;
 
   Time last_sign_of_life_{};  // last byte, or the last successful connect
-  Time last_repeat_at_{};     // last connect for notifications
+  Time last_input_at_{};
+  Time last_repeat_at_{};  // last connect for notifications
   Time next_connect_{};
   std::optional<Time> unreachable_since_{};  // first of an unbroken run of failed connects
   std::optional<Time> lost_at_{};            // when the last open connection broke; none has come up since
--- a/src/upstream/setup_servers.cpp
+++ b/src/upstream/setup_servers.cpp
@@ -432,15 +432,27 @@
 }
 
 void SetupServers::drop_connection(Time now, std::uint32_t conn, std::string_view reason, Outbox& out) {
-  const auto it = connections_.find(conn);
-  Server* server = it == connections_.end() ? nullptr : find_server(it->second.server);
-  // The server repeats a release that was not read here on the next connection opened, and only there.
-  if (server != nullptr) server->watch.connection_closed(may_receive_releases(*server, conn));
-  // Dropped at once instead of read until the peer closes it: until then the server would go on sending
-  // releases on it, which would be discarded.
-  out.drop({net::Concern::server, conn});
-  close_connection(now, conn, true, reason, out);
-  if (server != nullptr) maintain_server(now, *server, out);
+  drop_connections(now, {conn}, reason, out);
+}
+
+// All are dropped before a connection is opened in their place: the server repeats a release that was not
+// read here on the next connection opened, and only there.
+void SetupServers::drop_connections(Time now, const std::vector<std::uint32_t>& conns,
+                                    std::string_view reason, Outbox& out) {
+  std::set<ServerId> servers;
+  for (const std::uint32_t conn : conns) {
+    const auto it = connections_.find(conn);
+    if (it == connections_.end()) continue;
+    if (Server* server = find_server(it->second.server)) {
+      server->watch.connection_closed(may_receive_releases(*server, conn));
+      servers.insert(server->id);
+    }
+    // Dropped at once instead of read until the peer closes it: until then the server would go on sending
+    // releases on it, which would be discarded.
+    out.drop({net::Concern::server, conn});
+    close_connection(now, conn, true, reason, out);
+  }
+  for (const ServerId id : servers) maintain_server(now, servers_.at(id), out);
 }
 
 bool SetupServers::has_open_connection(const Server& server) const {
@@ -582,7 +594,7 @@
     (releases_expected ? to_replace : idle).push_back(number);
   }
   for (const std::uint32_t number : idle) close_connection(now, number, false, "idle", out);
-  for (const std::uint32_t number : to_replace) drop_connection(now, number, "silent", out);
+  drop_connections(now, to_replace, "silent", out);
 }
 
 // Maintains the servers on the work list and removes those that need no more. Checking every server of a long
--- a/src/upstream/setup_servers.h
+++ b/src/upstream/setup_servers.h
@@ -130,6 +130,8 @@
                         Outbox& out);
   void handle_malformed(Time now, std::uint32_t conn, const std::string& error, Outbox& out);
   void drop_connection(Time now, std::uint32_t conn, std::string_view reason, Outbox& out);
+  void drop_connections(Time now, const std::vector<std::uint32_t>& conns, std::string_view reason,
+                        Outbox& out);
   void record_response(Time now, std::uint32_t conn, Time sent, Outbox& out);
   void close_half_open(Time now, const Server& server, const std::vector<std::uint32_t>& half_open,
                        Outbox& out);
--- a/tests/release_process_test.cpp
+++ b/tests/release_process_test.cpp
@@ -130,6 +130,16 @@
   trial.end_and_expect_release();
 }
 
+// The kernel accepts connections for a hung process, which is no sign that it will ever send the release.
+void call_at_removed_server_that_hangs_for_good_is_released() {
+  OneCall trial;
+  trial.publish("gone");
+  trial.establish();
+  trial.server().freeze();
+  trial.testbed.record(trial.id).ended = lab::Clock::now();
+  trial.expect_release();
+}
+
 void call_at_server_whose_address_is_reassigned_is_released() {
   for (const bool closed : {false, true}) {
     OneCall trial;
@@ -207,6 +217,7 @@
       {"vanished_after_removal", call_at_removed_server_that_vanishes_is_released},
       {"vanished_before_removal", call_at_server_that_vanishes_and_is_then_removed_is_released},
       {"hung_after_removal", call_at_removed_server_that_hangs_is_released_after_it_resumes},
+      {"hung_for_good", call_at_removed_server_that_hangs_for_good_is_released},
       {"address_reassigned", call_at_server_whose_address_is_reassigned_is_released},
       {"discovery_down", call_at_stopped_server_is_released_while_discovery_is_down},
       {"restarted_server", call_at_restarted_server_is_released},
