--- a/lab/call_testbed.h
+++ b/lab/call_testbed.h
@@ -75,6 +75,8 @@
 
   // Whether an INVITE is answered with 200 when it arrives; otherwise answer() does it.
   void set_answers_at_once(bool at_once) { answers_at_once_ = at_once; }
+  // Setups are answered by themselves after this time.
+  void set_answer_delay(std::optional<Clock::duration> delay) { answer_delay_ = delay; }
   // Established calls end by themselves after this time.
   void set_holding_time(std::optional<Clock::duration> holding_time) { holding_time_ = holding_time; }
   void answer(const std::string& id, const std::string& status_line = "200 OK");
@@ -107,6 +109,7 @@
     std::string number{};
     int invite_cseq = 1;
     std::size_t connection{};  // of its INVITE
+    std::optional<TimePoint> answered_at{};
     std::optional<TimePoint> ends_at{};
   };
   void listen();
@@ -126,6 +129,7 @@
   std::map<std::string, ServedCall> established_{};
   std::vector<std::pair<std::string, std::string>> byes_to_repeat_{};  // id and BYE, for the next connection
   bool answers_at_once_ = false;
+  std::optional<Clock::duration> answer_delay_{};
   std::optional<Clock::duration> holding_time_{};
   bool frozen_ = false;
 };
@@ -157,8 +161,9 @@
   // Starts the gatekeeper with the endpoint list as published so far, and waits until it is ready.
   void start_gatekeeper();
   void signal_gatekeeper(int number) { gatekeeper_->signal(number); }
-  // SIGTERM; serves the stand-ins until the process has ended; its exit status.
-  int stop_gatekeeper();
+  // SIGTERM; serves the stand-ins, and calls `meanwhile` between, until the process has ended; its exit
+  // status.
+  int stop_gatekeeper(const std::function<void()>& meanwhile = {});
   bool gatekeeper_running() const { return running_; }
   std::string log() const { return former_logs_ + (gatekeeper_ ? gatekeeper_->log() : ""); }
 
--- /dev/null
+++ b/tests/soak_process_test.cpp
@@ -0,0 +1,206 @@
+// Random faults at servers, the endpoint list, discovery, callers and the gatekeeper itself, drawn from a
+// seed, against the real program. Every call's history is judged by the protocol's limits. Usage:
+// soak_process_test PROGRAM FIRST_SEED SEEDS [PARALLEL]
+#include <iostream>
+#include <map>
+#include <random>
+
+#include "lab/call_testbed.h"
+#include "lab/trial_runner.h"
+
+using namespace graniterun;
+using namespace graniterun::test;
+using lab::CallTestbed;
+using lab::StandInServer;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr auto kFaultsDuration = 7s;
+// The longest holding time and the longest limit for a release.
+constexpr auto kSettlingDuration = 2s + 8s + 500ms;
+constexpr int kMaxServers = 12;
+
+class Soak {
+ public:
+  Soak(const std::string& program, std::uint64_t seed)
+      : random_(seed), testbed_({program, static_cast<int>(2 + seed % 3), seed}) {
+    for (std::size_t i = 0; i < testbed_.server_count(); ++i) configure(testbed_.server(i), "ready");
+  }
+
+  // The faults that took effect, by name.
+  const std::map<std::string, int>& faults() const { return faults_; }
+
+  std::vector<std::string> run() {
+    testbed_.start_gatekeeper();
+    const lab::TimePoint end = lab::Clock::now() + kFaultsDuration;
+    while (lab::Clock::now() < end) {
+      testbed_.run_for(std::chrono::milliseconds(5 + random_() % 60));
+      if (testbed_.gatekeeper_running())
+        testbed_.place_call(std::chrono::milliseconds(random_() % 5 == 0 ? 300 : 3000));
+      if (random_() % 14 == 0) inject_fault();
+    }
+    for (auto& [server, resumes] : paused_) server->resume();
+    testbed_.set_discovery_reachable(true);
+    testbed_.run_until([this] { return all_over(); }, kSettlingDuration);
+    return testbed_.violations();
+  }
+
+  const CallTestbed& testbed() const { return testbed_; }
+
+ private:
+  void configure(StandInServer& server, const std::string& state) {
+    states_[&server] = state;
+    server.set_answers_at_once(random_() % 3 != 0);
+    server.set_holding_time(std::chrono::milliseconds(100 + random_() % 1900));
+    if (random_() % 3 == 0) server.set_answer_delay(std::chrono::milliseconds(random_() % 800));
+  }
+  bool all_over() const {
+    return std::ranges::all_of(testbed_.calls(), [](const auto& entry) {
+      const lab::CallHistory& call = entry.second;
+      return call.rejected || call.released || call.crossed_close || (call.before_restart && call.ended);
+    });
+  }
+  StandInServer& any_server() { return testbed_.server(random_() % testbed_.server_count()); }
+  bool is_usable(const StandInServer& server) const { return states_.at(&server) == "ready"; }
+  std::size_t usable_servers() const {
+    return static_cast<std::size_t>(
+        std::ranges::count_if(states_, [](const auto& entry) { return entry.second == "ready"; }));
+  }
+  void list(StandInServer& server, const std::string& state) {
+    states_[&server] = state;
+    testbed_.publish({{server.uid(), state}});
+  }
+
+  void inject_fault() {
+    StandInServer& server = any_server();
+    switch (random_() % 12) {
+      case 0:
+        return replace(server);
+      case 1:
+        return leave(server, "draining");
+      case 2:
+        return leave(server, "gone");
+      case 3:
+        return restart(server);
+      case 4:
+        return vanish(server);
+      case 5:
+        return pause(server);
+      case 6:
+        count("connections_closed");
+        return server.close_connections();
+      case 7:
+        count("connections_reset");
+        return server.reset_connections();
+      case 8:
+        count("noise");
+        return server.write_noise();
+      case 9:
+        count("discovery_down");
+        testbed_.set_discovery_reachable(false);
+        return testbed_.schedule(std::chrono::milliseconds(random_() % 2000),
+                                 [this] { testbed_.set_discovery_reachable(true); });
+      case 10:
+        if (random_() % 3 == 0) return restart_gatekeeper();
+        count("reload");
+        return testbed_.signal_gatekeeper(SIGHUP);
+      default:
+        count("callers_closed");
+        return testbed_.close_callers();
+    }
+  }
+
+  void count(const std::string& fault) { ++faults_[fault]; }
+
+  void leave(StandInServer& server, const std::string& state) {
+    if (!is_usable(server) || usable_servers() < 2) return;
+    count(state);
+    list(server, state);
+  }
+  // Another server takes over, in half of the cases at the same address.
+  void replace(StandInServer& server) {
+    if (!is_usable(server) || testbed_.server_count() >= kMaxServers) return;
+    count("replaced");
+    const bool same_address = random_() % 2 == 0;
+    if (same_address) server.stop_listening();
+    StandInServer& successor = testbed_.add_server(same_address ? server.port() : 0);
+    configure(successor, "ready");
+    states_[&server] = "gone";
+    testbed_.publish({{server.uid(), "gone"}, {successor.uid(), "ready"}});
+  }
+  void restart(StandInServer& server) {
+    if (!is_usable(server)) return;
+    count("restarted");
+    server.stop();
+    testbed_.schedule(std::chrono::milliseconds(random_() % 1500), [this, &server] {
+      if (!is_usable(server)) return;
+      server.start();
+      testbed_.schedule(500ms, [this, &server] {
+        if (is_usable(server)) testbed_.publish({{server.uid(), "ready"}}, true);
+      });
+    });
+  }
+  void vanish(StandInServer& server) {
+    if (!is_usable(server) || usable_servers() < 2) return;
+    count("vanished");
+    states_[&server] = "vanished";
+    server.vanish();
+    if (random_() % 2 == 0)
+      testbed_.schedule(std::chrono::milliseconds(random_() % 4000),
+                        [this, &server] { list(server, "gone"); });
+  }
+  void pause(StandInServer& server) {
+    if (!is_usable(server)) return;
+    count("paused");
+    server.freeze();
+    paused_[&server] = true;
+    testbed_.schedule(std::chrono::milliseconds(random_() % 3000), [&server] { server.resume(); });
+  }
+  void restart_gatekeeper() {
+    if (std::exchange(gatekeeper_restarted_, true)) return;
+    count("gatekeeper_restarted");
+    const int status = testbed_.stop_gatekeeper([this] {
+      if (testbed_.has_caller() && random_() % 4 == 0) testbed_.place_call(3s);
+    });
+    CHECK_EQ(status, 0);
+    testbed_.start_gatekeeper();
+  }
+
+  std::mt19937_64 random_;
+  CallTestbed testbed_;
+  std::map<const StandInServer*, std::string> states_{};
+  std::map<StandInServer*, bool> paused_{};
+  std::map<std::string, int> faults_{};
+  bool gatekeeper_restarted_ = false;
+};
+
+void play(const std::string& program, std::uint64_t seed) {
+  Soak soak(program, seed);
+  const std::vector<std::string> violations = soak.run();
+  std::string text =
+      "seed " + std::to_string(seed) + " calls " + std::to_string(soak.testbed().calls().size());
+  for (const auto& [fault, count] : soak.faults()) text += " " + fault + " " + std::to_string(count);
+  std::cout << text + "\n" << std::flush;
+  for (const std::string& violation : violations) std::cerr << "seed " << seed << ": " << violation << '\n';
+  if (!violations.empty() && ::getenv("SOAK_LOG")) std::cerr << soak.testbed().log();
+  CHECK(violations.empty());
+  CHECK(!soak.faults().empty());
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  CHECK(argc >= 4);
+  const std::string program = argv[1];
+  const std::uint64_t first = std::stoull(argv[2]);
+  const std::uint64_t seeds = std::stoull(argv[3]);
+  const std::size_t parallel = argc > 4 ? std::stoul(argv[4]) : 4;
+  std::vector<lab::Trial> trials;
+  for (std::uint64_t seed = first; seed < first + seeds; ++seed)
+    trials.push_back({"seed " + std::to_string(seed), [program, seed] { play(program, seed); }});
+  constexpr unsigned kTrialSeconds = 90;
+  const std::size_t failed = lab::run_trials(trials, parallel, kTrialSeconds);
+  std::cout << trials.size() - failed << " of " << trials.size() << " seeds kept the rules\n";
+  return failed == 0 ? 0 : 1;
+}
