--- a/src/gatekeeper/effect_log.cpp
+++ b/src/gatekeeper/effect_log.cpp
@@ -46,7 +46,7 @@
           [](const auto&) { return std::string(); },
       },
       effect);
-  if (!text.empty()) out.debug(now, [&] { return text; });
+  if (!text.empty()) out.debug(now, [&]() -> const std::string& { return text; });
 }
 
 }  // namespace graniterun
--- a/src/upstream/sip_trunk.cpp
+++ b/src/upstream/sip_trunk.cpp
@@ -406,35 +406,40 @@
       finish_attempt(now, *attempt, finished, out);
     return;
   }
+  handle_invite_success(now, *attempt, message, out);
+}
+
+void SipTrunk::handle_invite_success(Time now, UpstreamAttempt& attempt, const sip::Message& message,
+                                     Outbox& out) {
   // Every 2xx is acknowledged, also a retransmitted one; a second dialog from a forked INVITE is ended at
   // once.
   const std::string remote_to(message.header("To"));
-  UpstreamAttempt fork_attempt = *attempt;
-  const bool forked = !attempt->remote_to.empty() &&
-                      sip::parameter(attempt->remote_to, "tag") != sip::parameter(remote_to, "tag");
-  UpstreamAttempt& dialog = forked ? fork_attempt : *attempt;
+  UpstreamAttempt fork_attempt = attempt;
+  const bool forked = !attempt.remote_to.empty() &&
+                      sip::parameter(attempt.remote_to, "tag") != sip::parameter(remote_to, "tag");
+  UpstreamAttempt& dialog = forked ? fork_attempt : attempt;
   dialog.remote_to = remote_to;
   const std::string_view contact = message.header("Contact");
-  dialog.remote_target = contact.empty() ? attempt->invite.uri : std::string(sip::uri_in(contact));
+  dialog.remote_target = contact.empty() ? attempt.invite.uri : std::string(sip::uri_in(contact));
   const auto record_routes = message.header_values("Record-Route");
   dialog.route_set.assign(record_routes.rbegin(), record_routes.rend());
   transport_.send(dialog.flow, make_dialog_request(dialog, "ACK", 1).text(), out);
   if (forked) return send_bye(now, fork_attempt, kCauseNormalClearing, out);
   counters_.add("trunk.answers");
-  if (attempt->state == State::calling) {
-    attempt->was_established = true;
-    enter_state(now, *attempt, State::established);
-    out.notify_broker(core::AttemptEstablished{attempt->request->call, attempt->index, message.body});
-  } else if (!std::exchange(attempt->was_established, true)) {
+  if (attempt.state == State::calling) {
+    attempt.was_established = true;
+    enter_state(now, attempt, State::established);
+    out.notify_broker(core::AttemptEstablished{attempt.request->call, attempt.index, message.body});
+  } else if (!std::exchange(attempt.was_established, true)) {
     // Late success: the response raced the CANCEL, or the connection broke while the INVITE was outstanding.
     // The call is released at the server. If the broker has no end of the attempt yet, it does not retry the
     // request.
     counters_.add("trunk.crossed");
     core::AttemptFinished finished = finished_with(Outcome::cancelled);
     finished.late_success = true;
-    finish_attempt(now, *attempt, finished, out);
-    send_bye(now, *attempt, kCauseNormalClearing, out);
-    enter_state(now, *attempt, State::finished);
+    finish_attempt(now, attempt, finished, out);
+    send_bye(now, attempt, kCauseNormalClearing, out);
+    enter_state(now, attempt, State::finished);
   }
 }
 
--- a/src/upstream/sip_trunk.h
+++ b/src/upstream/sip_trunk.h
@@ -78,6 +78,7 @@
 
   void handle_message(Time now, sip::Incoming incoming, Outbox& out);
   void handle_response(Time now, const sip::Message& message, Outbox& out);
+  void handle_invite_success(Time now, UpstreamAttempt& attempt, const sip::Message& message, Outbox& out);
   void handle_request(Time now, const sip::Flow& flow, const sip::Message& message, Outbox& out);
   void finish_attempt(Time now, UpstreamAttempt& attempt, core::AttemptFinished finished, Outbox& out);
   void send_cancel(Time now, UpstreamAttempt& attempt, Outbox& out);
