Keep a live server connection that is not current while releases are expected on it

In the log a connection that had received a response 40 ms before was dropped in the tick after another one became current; a release on its way is lost with it.

--- a/src/upstream/setup_servers.cpp
+++ b/src/upstream/setup_servers.cpp
@@ -587,7 +587,8 @@
     const bool releases_expected = server != nullptr && may_receive_releases(*server, number);
     // No connection can replace it.
     if (releases_expected && server->address_reassigned) continue;
-    if (connection.notifications_only &&
+    // A live connection is not dropped: a release may be on its way on it.
+    if ((connection.notifications_only || releases_expected) &&
         now - connection.last_received_at <
             (releases_expected ? kNotificationReplaceTimeout : kNotificationIdleTimeout))
       continue;
@@ -936,6 +937,12 @@
   const int cause = parse_q850_cause(message.header("Reason"));
   const LoadReport report = parse_load_report(message);
   const auto it = find_attempt(conn, message);
+  out.debug(now, [&] {
+    return "bye_received call=" + std::string(message.header("Call-ID")) +
+           " server=" + name_of(connections_.at(conn).server) + " conn=" + std::to_string(conn) +
+           " attempt_state=" +
+           (it == attempts_.end() ? "none" : std::to_string(static_cast<int>(it->second.state)));
+  });
   const bool is_open =
       it != attempts_.end() && (it->second.state == AttemptState::established || it->second.outstanding());
   if (!is_open) {
