--- a/src/upstream/setup_servers.cpp
+++ b/src/upstream/setup_servers.cpp
@@ -570,9 +570,13 @@
     counters_.add("servers.messages_cut_short");
     drop_connection(now, number, "message_timed_out", out);
   }
-  // Closes non-current connections without outstanding attempts. A closed connection is no longer read, but
-  // the server may send releases of established calls on it. Unless a connection replaces it, those releases
-  // are lost, whether or not the old connection was half-open.
+  close_non_current(now, out);
+}
+
+// Closes non-current connections without outstanding attempts. A closed connection is no longer read, but the
+// server may send releases of established calls on it. Unless a connection replaces it, those releases are
+// lost, whether or not the old connection was half-open.
+void SetupServers::close_non_current(Time now, Outbox& out) {
   std::vector<std::uint32_t> idle;
   std::vector<std::uint32_t> to_replace;
   for (const std::uint32_t number : std::set<std::uint32_t>(non_current_connections_)) {
--- a/src/upstream/setup_servers.h
+++ b/src/upstream/setup_servers.h
@@ -118,6 +118,7 @@
   void end_calls_if(Time now, Server& server, Outbox& out, Predicate is_over);
   void maintain_server(Time now, Server& server, Outbox& out);
   void maintain_servers(Time now, Outbox& out);
+  void close_non_current(Time now, Outbox& out);
   void clear_current_connection(Server& server);
   void handle_response(Time now, std::uint32_t conn, const sip::Message& message, Outbox& out);
   void handle_request(Time now, std::uint32_t conn, const sip::Message& message, Outbox& out);
