--- a/src/downstream/load_control.cpp
+++ b/src/downstream/load_control.cpp
@@ -64,8 +64,7 @@
   message.method = method;
   message.uri = dialog.target;
   const auto& address = dialog.flow.reliable ? settings_.tcp : settings_.udp;
-  message.add("Via", std::string(dialog.flow.reliable ? "SIP/2.0/TCP " : "SIP/2.0/UDP ") +
-                         address.value_or("") + ";branch=" + std::string(sip::kBranchCookie) + ids_.next());
+  message.add("Via", sip::make_via(dialog.flow.reliable, address.value_or(""), ids_.next()));
   message.add("Max-Forwards", "70");
   for (const std::string& route : dialog.routes) message.add("Route", route);
   message.add("From", dialog.local);
--- a/src/downstream/platform.cpp
+++ b/src/downstream/platform.cpp
@@ -4,16 +4,11 @@
 #include <cmath>
 
 #include "codec/number.h"
+#include "core/q850.h"
 
 namespace graniterun::downstream {
 namespace {
 
-// Cause values of Q.850.
-constexpr int kCauseNormalClearing = 16;
-constexpr int kCauseUserBusy = 17;
-constexpr int kCauseTemporaryFailure = 41;
-constexpr int kCauseCongestion = 42;
-constexpr int kCauseInvalidMessage = 95;
 constexpr double kMaxPool = 1e9;     // largest pool number that `dest` may name
 constexpr double kMaxCircuits = 64;  // largest `width` of a call
 constexpr std::size_t kMaxUnassignedReleases = 4096;
--- a/src/downstream/sip.cpp
+++ b/src/downstream/sip.cpp
@@ -522,7 +522,7 @@
   sip::Message message;
   message.method = "BYE";
   message.uri = dialog.target;
-  message.add("Via", make_via(dialog.flow));
+  message.add("Via", sip::make_via(dialog.flow.reliable, address(dialog.flow), ids_.next()));
   message.add("Max-Forwards", "70");
   for (const std::string& route : dialog.routes) message.add("Route", route);
   message.add("From", dialog.local);
@@ -547,7 +547,7 @@
     counters_.add("sip.byes_resent");
     bye.flow.conn = 0;  // its connection is closed
     for (auto& [name, value] : bye.message.headers) {
-      if (name == "Via") value = make_via(bye.flow);
+      if (name == "Via") value = sip::make_via(bye.flow.reliable, address(bye.flow), ids_.next());
     }
     bye.resend_at.reset();
     const std::string key = transactions_.send_request(now, bye.flow, bye.message, out);
@@ -555,11 +555,6 @@
   }
 }
 
-std::string Sip::make_via(const sip::Flow& flow) {
-  return std::string(flow.reliable ? "SIP/2.0/TCP " : "SIP/2.0/UDP ") + address(flow) +
-         ";branch=" + std::string(sip::kBranchCookie) + ids_.next();
-}
-
 // ---- lookups
 
 void Sip::forget(CallId id) {
--- a/src/downstream/sip.h
+++ b/src/downstream/sip.h
@@ -99,7 +99,6 @@
   sip::Message make_ok(const Call& call, const sip::Message& request) const;
   void send_bye(Time now, Call& call, int cause, Outbox& out);
   void resend_byes(Time now, Outbox& out);
-  std::string make_via(const sip::Flow& flow);
   void forget(CallId id);
   Call* find(CallId id);
   CallId find_call_id(const sip::Message& message) const;
--- a/src/gatekeeper/effect_log.cpp
+++ b/src/gatekeeper/effect_log.cpp
@@ -1,17 +1,11 @@
 #include "gatekeeper/effect_log.h"
 
 #include "core/names.h"
+#include "core/overloaded.h"
 
 namespace graniterun {
 namespace {
 
-template <class... Fs>
-struct Overloaded : Fs... {
-  using Fs::operator()...;
-};
-template <class... Fs>
-Overloaded(Fs...) -> Overloaded<Fs...>;
-
 std::string attempt_fields(const core::Request& request, int attempt) {
   return " call=" + request.correlation_id + " attempt=" + std::to_string(attempt);
 }
--- a/src/gatekeeper/gatekeeper.cpp
+++ b/src/gatekeeper/gatekeeper.cpp
@@ -5,6 +5,7 @@
 
 #include "config/descriptors.h"
 #include "config/overlay.h"
+#include "core/overloaded.h"
 #include "gatekeeper/effect_log.h"
 #include "management/telemetry.h"
 
@@ -26,13 +27,6 @@
 constexpr Duration kMaxUpgradeTimeout = 5s;
 constexpr Duration kUpgradeGracePeriod = 2s;
 
-template <class... Fs>
-struct Overloaded : Fs... {
-  using Fs::operator()...;
-};
-template <class... Fs>
-Overloaded(Fs...) -> Overloaded<Fs...>;
-
 downstream::PlatformFrontSettings platform_settings(const PlatformConfig& config, const DeployConfig& deploy,
                                                     const core::ClassTable& classes) {
   downstream::PlatformFrontSettings settings;
--- a/src/sip/transactions.h
+++ b/src/sip/transactions.h
@@ -18,6 +18,12 @@
 constexpr Duration k64T1 = 64 * kT1;
 constexpr std::string_view kBranchCookie = "z9hG4bK";
 
+// Via header of a request from `sent_by` (address:port); `branch` must be unique (§8.1.1.7).
+inline std::string make_via(bool reliable, const std::string& sent_by, const std::string& branch) {
+  return std::string(reliable ? "SIP/2.0/TCP " : "SIP/2.0/UDP ") + sent_by +
+         ";branch=" + std::string(kBranchCookie) + branch;
+}
+
 // A timeout that the transaction user must handle.
 struct TimerExpiry {
   enum class Kind {
--- a/src/upstream/server_watch.cpp
+++ b/src/upstream/server_watch.cpp
@@ -62,7 +62,7 @@
 
 void ServerWatch::connect_not_possible() {
   connect_attempted_ = true;
-  repeat_needed_ = repeat_needed_ || std::exchange(repeat_pending_, false);
+  if (std::exchange(repeat_pending_, false)) repeat_needed_ = true;
 }
 
 void ServerWatch::input_received(Time now) {
@@ -71,10 +71,6 @@
   unreachable_since_.reset();
 }
 
-void ServerWatch::connection_closed(bool release_may_be_lost) {
-  repeat_needed_ = repeat_needed_ || release_may_be_lost;
-}
-
 void ServerWatch::last_connection_lost(Time now) {
   if (!lost_at_) lost_at_ = now;
 }
--- a/src/upstream/server_watch.h
+++ b/src/upstream/server_watch.h
@@ -55,9 +55,8 @@
   // The connect failed for want of a descriptor or port here, which says nothing about the server.
   void connect_not_possible();
   void input_received(Time now);
-  // A connection was closed. `release_may_be_lost`: it was reset, or dropped here, while releases were
-  // expected on it.
-  void connection_closed(bool release_may_be_lost);
+  // A connection was reset, or dropped here, while releases were expected on it.
+  void releases_may_be_lost() { repeat_needed_ = true; }
   // The server closed its last open connection.
   void last_connection_lost(Time now);
 
--- a/src/upstream/setup_servers.cpp
+++ b/src/upstream/setup_servers.cpp
@@ -6,6 +6,7 @@
 
 #include "codec/number.h"
 #include "core/names.h"
+#include "core/q850.h"
 #include "wire.h"
 
 namespace graniterun::upstream {
@@ -52,9 +53,6 @@
 // Upper bound on a reported wait; no caller waits longer, so a larger value is ignored.
 constexpr std::chrono::milliseconds kMaxRetryAfter = 60s;
 
-constexpr int kCauseNormalClearing = 16;  // Q.850
-constexpr int kCauseTemporaryFailure = 41;
-
 sip::Message make_request(std::string_view method, const std::string& number,
                           const std::string& correlation_id, int cseq, std::string_view cseq_method = {}) {
   sip::Message message;
@@ -376,8 +374,8 @@
   counters_.add("servers.connections_lost");
   Server* server = find_server(it->second.server);
   // Bytes that the server had written are lost by a reset, and only by that.
-  if (server != nullptr && event.reset)
-    server->watch.connection_closed(may_receive_releases(*server, event.conn.number));
+  if (server != nullptr && event.reset && may_receive_releases(*server, event.conn.number))
+    server->watch.releases_may_be_lost();
   close_connection(now, event.conn.number, true, event.reset ? "reset_by_server" : "closed_by_server", out);
   if (server == nullptr) return;
   if (!has_open_connection(*server)) server->watch.last_connection_lost(now);
@@ -444,7 +442,7 @@
     const auto it = connections_.find(conn);
     if (it == connections_.end()) continue;
     if (Server* server = find_server(it->second.server)) {
-      server->watch.connection_closed(may_receive_releases(*server, conn));
+      if (may_receive_releases(*server, conn)) server->watch.releases_may_be_lost();
       servers.insert(server->id);
     }
     // Dropped at once instead of read until the peer closes it: until then the server would go on sending
--- a/src/upstream/sip_trunk.cpp
+++ b/src/upstream/sip_trunk.cpp
@@ -1,5 +1,6 @@
 #include "upstream/sip_trunk.h"
 
+#include "core/q850.h"
 #include "upstream/setup_servers.h"
 
 namespace graniterun::upstream {
@@ -14,8 +15,6 @@
 // How long a finished attempt is retained to match late messages. A success that came later would be a
 // retransmission of one sent 64 T1 before.
 constexpr Duration kFinishedRetention = 2 * sip::k64T1;
-constexpr int kCauseNormalClearing = 16;  // Q.850
-constexpr int kCauseTemporaryFailure = 41;
 // By how much a deadline that is sent to a server may exceed the caller's.
 constexpr std::chrono::milliseconds kExpiresSlack{150};
 
@@ -43,9 +42,10 @@
   set_header("Expires-Ms", std::to_string(ms_left));
 }
 
-core::AttemptFinished finished_with(Outcome outcome) {
+core::AttemptFinished finished_with(Outcome outcome, int cause = 0) {
   core::AttemptFinished finished;
   finished.outcome = outcome;
+  finished.cause = cause;
   return finished;
 }
 
@@ -211,9 +211,7 @@
   out.log(net::Level::warning, "setup server " + name_of(attempt.server) + ": ending call " +
                                    attempt.request->correlation_id + ", reason=" + std::string(reason));
   send_bye(now, attempt, kCauseTemporaryFailure, out);
-  core::AttemptFinished finished = finished_with(Outcome::reset);
-  finished.cause = kCauseTemporaryFailure;
-  finish_attempt(now, attempt, finished, out);
+  finish_attempt(now, attempt, finished_with(Outcome::reset, kCauseTemporaryFailure), out);
 }
 
 void SipTrunk::erase(Attempts::iterator it) {
@@ -239,10 +237,7 @@
 
 // ---- effects of the broker
 
-std::string SipTrunk::make_via() {
-  return std::string(settings_.reliable ? "SIP/2.0/TCP " : "SIP/2.0/UDP ") + settings_.address +
-         ";branch=" + std::string(sip::kBranchCookie) + ids_.next();
-}
+std::string SipTrunk::make_via() { return sip::make_via(settings_.reliable, settings_.address, ids_.next()); }
 
 void SipTrunk::apply(Time now, const core::StartAttempt& event, Outbox& out) {
   const auto endpoint = endpoints_.find(event.server);
@@ -506,9 +501,7 @@
     if (attempt.server != server || attempt.state != State::established ||
         attempt.state_since >= restarted_at)
       continue;
-    core::AttemptFinished finished = finished_with(Outcome::reset);
-    finished.cause = kCauseTemporaryFailure;
-    finish_attempt(now, attempt, finished, out);
+    finish_attempt(now, attempt, finished_with(Outcome::reset, kCauseTemporaryFailure), out);
   }
 }
 
