Log each INVITE, CANCEL, ACK, BYE and response of an attempt, and confirmed releases

Both server sides now log what they send and receive per call, the front end logs setups, releases by callers and confirmations, and a connection's first input shows that the server has accepted it. Names of attempt states replace their numbers. No behaviour changes.

--- a/src/downstream/platform.cpp
+++ b/src/downstream/platform.cpp
@@ -186,6 +186,9 @@
     out.send(conn, make_message("pong", message.id, ready_ ? 1 : 0).text());
   } else if (message.type == "release") {
     counters_.add("platform.releases_in");
+    out.debug(now, [&] {
+      return "release_received call=" + message.id + " caller=" + std::to_string(conn.number);
+    });
     const auto it = by_id_.find(message.id);
     const bool unanswered = it != by_id_.end() && !calls_.at(it->second).established;
     if (!unanswered) out.send(conn, make_message("released", message.id).text());
@@ -196,6 +199,9 @@
     release_by_caller(it->second, message.cause.value_or(kCauseNormalClearing), out);
   } else if (message.type == "released") {
     counters_.add("platform.released_in");
+    out.debug(now, [&] {
+      return "release_confirmed call=" + message.id + " caller=" + std::to_string(conn.number);
+    });
     if (const auto it = connections_.find(conn); it != connections_.end())
       it->second.unconfirmed_releases.erase(message.id);
   } else if (message.type != "progress") {
@@ -232,6 +238,8 @@
   const std::string error = read_request(now, message, request);
   if (!error.empty()) return reject_malformed(now, conn, message.id, error, out);
   request.call = core::call_id(core::FrontEnd::platform, ++last_call_);
+  out.debug(now,
+            [&] { return "setup_received call=" + message.id + " caller=" + std::to_string(conn.number); });
   calls_.emplace(request.call, Call{message.id, conn, identity_of(message)});
   by_id_.emplace(message.id, request.call);
   connections_[conn].waiting.insert(request.call);
@@ -263,6 +271,11 @@
   if (it == connections_.end()) return;
   Connection closed = std::move(it->second);
   connections_.erase(it);
+  out.debug(now, [&] {
+    return "caller_closed caller=" + std::to_string(event.conn.number) +
+           " open_setups=" + std::to_string(closed.waiting.size()) +
+           " unconfirmed_releases=" + std::to_string(closed.unconfirmed_releases.size());
+  });
   cancel_waiting(closed, out);
   // A release that was not confirmed on this connection is sent again on another one: calls are not bound to
   // a connection.
--- a/src/upstream/setup_servers.cpp
+++ b/src/upstream/setup_servers.cpp
@@ -283,7 +283,10 @@
   server.watch.connect_started(now, due);
   if (server.endpoint.state == ServerState::terminated && server.live_attempts == 0)
     ++removed_server_connects_;
-  connections_[number] = {server.id, false, now, {}, {}, {}, notifications_only};
+  Connection& connection = connections_[number];
+  connection.server = server.id;
+  connection.last_received_at = now;
+  connection.notifications_only = notifications_only;
   counters_.add("servers.connects");
   out.debug(now, [&] {
     return "connect_started server=" + server.endpoint.uid + " conn=" + std::to_string(number) +
@@ -730,6 +733,7 @@
   message.add("Expires-Ms", std::to_string(std::max<std::int64_t>(1, left)));
   message.body = request.description;
   counters_.add("servers.invites");
+  log_sent(now, "invite_sent", attempt, out);
   attempt.ticket = ++last_ticket_;
   out.send_counted({net::Concern::server, attempt.conn}, message.text(), attempt.ticket);
 }
@@ -746,6 +750,7 @@
   } else if (attempt.state == AttemptState::sent) {
     enter_state(now, attempt, AttemptState::abandoned);
     counters_.add("servers.cancels");
+    log_sent(now, "cancel_sent", attempt, out);
     // The connection is open, because closing one ends its attempts. If the server does not read, the INVITE
     // may be unwritten: it is then withdrawn, so that it does not arrive once the server reads again.
     const sip::Message cancel = make_request("CANCEL", attempt.request->number_text,
@@ -763,6 +768,7 @@
   message.add("Reason", "Q.850;cause=" + std::to_string(event.cause));
   counters_.add("servers.byes_out");
   send(attempt, message, out);
+  log_sent(now, "bye_sent", attempt, out);
   enter_state(now, attempt, AttemptState::finished);
 }
 
@@ -784,6 +790,12 @@
     const auto it = connections_.find(event.conn.number);
     if (it == connections_.end()) return;
     it->second.last_received_at = now;
+    if (!std::exchange(it->second.received_input, true)) {
+      out.debug(now, [&] {
+        return "connection_first_input server=" + name_of(it->second.server) +
+               " conn=" + std::to_string(event.conn.number);
+      });
+    }
     if (Server* server = find_server(it->second.server)) {
       server->watch.input_received(now);
     }
@@ -866,6 +878,14 @@
     return;
   }
   const auto it = find_attempt(conn, message);
+  out.debug(now, [&] {
+    return "response_received call=" + std::string(message.header("Call-ID")) +
+           " status=" + std::to_string(message.status) + " server=" + name_of(connections_.at(conn).server) +
+           " conn=" + std::to_string(conn) +
+           (it == attempts_.end() ? std::string(" attempt=none")
+                                  : " attempt=" + std::to_string(it->second.index) +
+                                        " attempt_state=" + std::string(name_of_state(it->second.state)));
+  });
   if (it == attempts_.end()) {
     counters_.add("servers.answers_unknown");
     return;
@@ -881,6 +901,7 @@
   const int cseq_number = attempt.index + 1;
   send(attempt,
        make_request("ACK", attempt.request->number_text, attempt.request->correlation_id, cseq_number), out);
+  log_sent(now, "ack_sent", attempt, out);
   core::AttemptFinished finished;
   finished.report = report;
   if (attempt.state == AttemptState::sent) record_response(now, conn, attempt.state_since, out);
@@ -897,6 +918,7 @@
           make_request("BYE", attempt.request->number_text, attempt.request->correlation_id, cseq_number + 1);
       bye.add("Reason", "Q.850;cause=16");
       send(attempt, bye, out);
+      log_sent(now, "bye_sent", attempt, out);
       if (attempt.state == AttemptState::abandoned) {
         finished.outcome = Outcome::cancelled;
         finished.late_success = true;
@@ -942,8 +964,7 @@
   out.debug(now, [&] {
     return "bye_received call=" + std::string(message.header("Call-ID")) +
            " server=" + name_of(connections_.at(conn).server) + " conn=" + std::to_string(conn) +
-           " attempt_state=" +
-           (it == attempts_.end() ? "none" : std::to_string(static_cast<int>(it->second.state)));
+           " attempt_state=" + std::string(it == attempts_.end() ? "none" : name_of_state(it->second.state));
   });
   const bool is_open =
       it != attempts_.end() && (it->second.state == AttemptState::established || it->second.outstanding());
@@ -1036,6 +1057,30 @@
   out.notify_broker(finished);
 }
 
+std::string_view SetupServers::name_of_state(AttemptState state) {
+  switch (state) {
+    case AttemptState::queued:
+      return "queued";
+    case AttemptState::sent:
+      return "sent";
+    case AttemptState::abandoned:
+      return "abandoned";
+    case AttemptState::established:
+      return "established";
+    case AttemptState::finished:
+      return "finished";
+  }
+  return "unknown";
+}
+
+void SetupServers::log_sent(Time now, std::string_view event, const UpstreamAttempt& attempt, Outbox& out) {
+  out.debug(now, [&] {
+    return std::string(event) + " call=" + attempt.request->correlation_id +
+           " attempt=" + std::to_string(attempt.index) + " server=" + name_of(attempt.server) +
+           " conn=" + std::to_string(attempt.conn);
+  });
+}
+
 SetupServers::Server* SetupServers::find_server(ServerId id) {
   const auto it = servers_.find(id);
   return it == servers_.end() ? nullptr : &it->second;
--- a/src/upstream/setup_servers.h
+++ b/src/upstream/setup_servers.h
@@ -83,6 +83,7 @@
     std::optional<Time> last_notified_at{};  // when its last NOTIFY came
     std::optional<Time> partial_since{};     // since when a received message is incomplete
     std::set<AttemptKey> outstanding{};      // sent or abandoned, without a final response
+    bool received_input = false;             // a byte has arrived: the server has accepted it
     bool notifications_only = false;  // sends no setups; opened so that the server repeats its releases on it
   };
   struct Server {
@@ -143,6 +144,8 @@
   void record_notification(Time now, std::uint32_t conn, Outbox& out);
   static std::string describe_malformed(const sip::ReadResult& read);
   static bool is_invite_success(const sip::Message& message);
+  static std::string_view name_of_state(AttemptState state);
+  void log_sent(Time now, std::string_view event, const UpstreamAttempt& attempt, Outbox& out);
   Attempts::iterator find_attempt(std::uint32_t conn, const sip::Message& message);
   void send(UpstreamAttempt& attempt, const sip::Message& message, Outbox& out);
   void withdraw_setups(Time now, Server& server, Outbox& out);
--- a/src/upstream/sip_trunk.cpp
+++ b/src/upstream/sip_trunk.cpp
@@ -268,6 +268,7 @@
   if (!request.description.empty()) message.add("Content-Type", "application/sdp");
   message.body = request.description;
   counters_.add("trunk.invites");
+  log_sent(now, "invite_sent", attempt, out);
   if (settings_.reliable) attempt.ticket = ++last_ticket_;
   attempt.transaction = transactions_.send_request(now, attempt.flow, message, out, attempt.ticket);
   by_transaction_.insert_or_assign(attempt.transaction, call_id);
@@ -330,6 +331,7 @@
     message.add(name, std::string(attempt.invite.header(name)));
   message.add("CSeq", "1 CANCEL");
   counters_.add("trunk.cancels");
+  log_sent(now, "cancel_sent", attempt, out);
   transactions_.send_request(now, attempt.flow, message, out);
 }
 
@@ -352,6 +354,7 @@
   sip::Message message = make_dialog_request(attempt, "BYE", ++attempt.local_cseq);
   message.add("Reason", "Q.850;cause=" + std::to_string(cause));
   counters_.add("trunk.byes_out");
+  log_sent(now, "bye_sent", attempt, out);
   transactions_.send_request(now, attempt.flow, message, out);
 }
 
@@ -381,6 +384,7 @@
   UpstreamAttempt* attempt = find_attempt(message.header("Call-ID"));
   if (attempt == nullptr || !cseq) return;
   watch_.message_received(now, attempt->server);
+  log_message(now, "response_received", *attempt, message, out);
   if (cseq->method == "OPTIONS") return handle_probe_response(now, *attempt, message.status, out);
   if (cseq->method != "INVITE") return;
   if (message.status < 200) {
@@ -468,6 +472,7 @@
   if (message.method != "BYE") return respond(message.method == "INVITE" ? 488 : 501);
   respond(200);
   counters_.add("trunk.byes_in");
+  log_message(now, "bye_received", *attempt, message, out);
   const int cause = parse_q850_cause(message.header("Reason"));
   if (attempt->broker_notified) {
     // The attempt ended here before the server reported that it was established; the call may still be open.
@@ -486,6 +491,23 @@
 
 // ---- helpers
 
+void SipTrunk::log_sent(Time now, std::string_view event, const UpstreamAttempt& attempt, Outbox& out) {
+  out.debug(now, [&] {
+    return std::string(event) + " call=" + attempt.request->correlation_id +
+           " attempt=" + std::to_string(attempt.index) + " server=" + name_of(attempt.server);
+  });
+}
+
+void SipTrunk::log_message(Time now, std::string_view event, const UpstreamAttempt& attempt,
+                           const sip::Message& message, Outbox& out) {
+  out.debug(now, [&] {
+    return std::string(event) + " call=" + attempt.request->correlation_id +
+           " attempt=" + std::to_string(attempt.index) + " server=" + name_of(attempt.server) + " cseq=\"" +
+           std::string(message.header("CSeq")) + "\" status=" + std::to_string(message.status) +
+           " finished=" + std::to_string(static_cast<int>(attempt.broker_notified));
+  });
+}
+
 void SipTrunk::finish_attempt(Time now, UpstreamAttempt& attempt, core::AttemptFinished finished,
                               Outbox& out) {
   if (attempt.broker_notified) return;
--- a/src/upstream/sip_trunk.h
+++ b/src/upstream/sip_trunk.h
@@ -86,6 +86,9 @@
   std::string refresh_time_left(Time now, std::uint64_t ticket, std::string text);
   void handle_withdrawn(Time now, Attempts::iterator it, Outbox& out);
   void erase(Attempts::iterator it);
+  void log_sent(Time now, std::string_view event, const UpstreamAttempt& attempt, Outbox& out);
+  void log_message(Time now, std::string_view event, const UpstreamAttempt& attempt,
+                   const sip::Message& message, Outbox& out);
   sip::Message make_dialog_request(UpstreamAttempt& attempt, const std::string& method, std::uint32_t cseq);
   void enter_state(Time now, UpstreamAttempt& attempt, State state);
   void send_bye(Time now, UpstreamAttempt& attempt, int cause, Outbox& out);
