--- a/lab/call_testbed.cpp
+++ b/lab/call_testbed.cpp
@@ -123,10 +123,13 @@
 }
 
 void StandInServer::accept() {
+  if (listener_.descriptor() < 0) return;
   for (test::Socket socket = accept_available(listener_); socket.descriptor() >= 0;
        socket = accept_available(listener_)) {
     Connection& connection = connections_[++last_connection_];
     connection.peer = std::make_unique<StreamPeer>(std::move(socket));
+    const std::vector<std::string> over = std::exchange(ends_after_accept_, {});
+    ends_in_next_turn_.insert(ends_in_next_turn_.end(), over.begin(), over.end());
     for (const auto& [id, bye] : std::exchange(byes_to_repeat_, {})) {
       connection.peer->write(bye);
       testbed_.record_bye(id);
@@ -135,11 +138,22 @@
 }
 
 void StandInServer::serve() {
-  if (frozen_) return;
+  if (frozen_ || Clock::now() < next_turn_) return;
+  next_turn_ = Clock::now() + turn_interval_;
+  if (turn_order_ == TurnOrder::write_accept_read) write_due();
+  accept();
+  if (turn_order_ == TurnOrder::accept_write_read) write_due();
+  read_connections();
+  if (turn_order_ == TurnOrder::accept_read_write) write_due();
+}
+
+void StandInServer::read_connections() {
   const TimePoint now = Clock::now();
-  if (listener_.descriptor() >= 0) accept();
   for (auto& [number, connection] : connections_) {
-    if (connection.peer->open() && now >= connection.next_notification) {
+    const bool report_due =
+        !connection.reported || (periodic_reports_ && now >= connection.next_notification);
+    if (connection.peer->open() && report_due) {
+      connection.reported = true;
       connection.next_notification = now + kNotificationInterval;
       connection.peer->write(
           "NOTIFY sip:x@net SIP/2.0\r\nCall-ID: n\r\nP-Load: x0:30;x1:40\r\nContent-Length: 0\r\n\r\n");
@@ -160,12 +174,16 @@
     std::erase_if(unanswered_, [&](const auto& call) { return call.second.connection == entry.first; });
     return true;
   });
+}
+
+void StandInServer::write_due() {
+  const TimePoint now = Clock::now();
   std::vector<std::string> due;
   for (const auto& [id, call] : unanswered_) {
     if (call.answered_at && now >= *call.answered_at) due.push_back(id);
   }
   for (const std::string& id : due) answer(id);
-  std::vector<std::string> over;
+  std::vector<std::string> over = std::exchange(ends_in_next_turn_, {});
   for (const auto& [id, call] : established_) {
     if (call.ends_at && now >= *call.ends_at) over.push_back(id);
   }
@@ -175,10 +193,10 @@
 void StandInServer::handle_message(std::size_t connection, const sip::Message& message) {
   const std::string id(message.header("Call-ID"));
   if (!message.is_request() || !testbed_.knows(id)) return;
+  if (interceptor_ && interceptor_(connection, message)) return;
   CallHistory& history = testbed_.record(id);
   if (message.method == "INVITE") {
     ServedCall call;
-    call.invite_cseq = sip::cseq_of(message)->number;
     call.connection = connection;
     call.number = message.uri.substr(4, message.uri.find('@') - 4);
     if (answer_delay_) call.answered_at = Clock::now() + *answer_delay_;
@@ -198,17 +216,23 @@
   CHECK(it != unanswered_.end());
   ServedCall call = it->second;
   unanswered_.erase(it);
-  const bool success = status_line.starts_with("200");
-  const std::string body = success ? "answer of " + uid_ : "";
-  connections_.at(call.connection)
-      .peer->write("SIP/2.0 " + status_line + "\r\nCall-ID: " + id +
-                   "\r\nCSeq: " + std::to_string(call.invite_cseq) +
-                   " INVITE\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
-  if (!success) return;
+  write_response(call.connection, id, status_line);
+  if (!status_line.starts_with("200")) return;
   if (holding_time_) call.ends_at = Clock::now() + *holding_time_;
   established_.insert_or_assign(id, call);
 }
 
+// All responses have the CSeq number 1: the gatekeeper matches them by Call-ID and method.
+void StandInServer::write_response(std::size_t connection, const std::string& id,
+                                   const std::string& status_line) {
+  const auto it = connections_.find(connection);
+  if (it == connections_.end()) return;
+  const std::string body = status_line.starts_with("200") ? "answer of " + uid_ : "";
+  it->second.peer->write("SIP/2.0 " + status_line + "\r\nCall-ID: " + id +
+                         "\r\nCSeq: 1 INVITE\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+                         body);
+}
+
 void StandInServer::end_call(const std::string& id, int cause) {
   const auto it = established_.find(id);
   CHECK(it != established_.end());
@@ -217,16 +241,35 @@
   testbed_.record(id).ended = Clock::now();
   const std::string bye = bye_for(id, call.number, cause);
   byes_to_repeat_.emplace_back(id, bye);
-  auto target = connections_.find(call.connection);
-  if (target == connections_.end() || !target->second.peer->open()) {
-    target = std::find_if(connections_.begin(), connections_.end(),
-                          [](const auto& entry) { return entry.second.peer->open(); });
-  }
-  if (target == connections_.end()) return;
-  target->second.peer->write(bye);
+  StreamPeer* target = find_release_target(call.connection);
+  if (target == nullptr) return;
+  target->write(bye);
   testbed_.record_bye(id);
 }
 
+StreamPeer* StandInServer::find_release_target(std::size_t own_connection) {
+  std::vector<StreamPeer*> open;
+  for (const auto& [number, connection] : connections_) {
+    if (!connection.peer->open()) continue;
+    if (number == own_connection) return connection.peer.get();
+    open.push_back(connection.peer.get());
+  }
+  if (open.empty()) return nullptr;
+  switch (release_target_) {
+    case ReleaseTarget::oldest:
+      return open.front();
+    case ReleaseTarget::newest:
+      return open.back();
+    case ReleaseTarget::second_newest:
+      return open[open.size() < 2 ? 0 : open.size() - 2];
+  }
+  return nullptr;
+}
+
+void StandInServer::cut_call(const std::string& id) {
+  if (established_.erase(id) > 0) testbed_.record(id).ended = Clock::now();
+}
+
 void StandInServer::vanish() {
   frozen_ = true;
   if (listener_.descriptor() >= 0) CHECK(::listen(listener_.descriptor(), 0) == 0);
--- a/lab/call_testbed.h
+++ b/lab/call_testbed.h
@@ -61,6 +61,15 @@
 
 class CallTestbed;
 
+// Order of a server's work in one turn of its event loop. It decides whether a release is written to a
+// connection that the gatekeeper has closed, and whether a connection opened meanwhile counts as the next
+// one.
+enum class TurnOrder : std::uint8_t { accept_read_write, accept_write_read, write_accept_read };
+
+// The connection on which a release is written if that of its setup is closed, by age among those that the
+// server takes for open.
+enum class ReleaseTarget : std::uint8_t { oldest, newest, second_newest };
+
 // A setup server of the platform. A release is sent on the connection of the call's INVITE, otherwise on any
 // open one, and again on the next one that is opened.
 class StandInServer {
@@ -78,8 +87,24 @@
   void set_answer_delay(std::optional<Clock::duration> delay) { answer_delay_ = delay; }
   // Established calls end by themselves after this time.
   void set_holding_time(std::optional<Clock::duration> holding_time) { holding_time_ = holding_time; }
+  void set_turn_order(TurnOrder order) { turn_order_ = order; }
+  void set_release_target(ReleaseTarget target) { release_target_ = target; }
+  // Minimum time between two turns: what arrives meanwhile is handled in one turn.
+  void set_turn_interval(Clock::duration interval) { turn_interval_ = interval; }
+  // Without it, the server sends a report only as the first message of each connection.
+  void set_periodic_reports(bool periodic) { periodic_reports_ = periodic; }
+  // Called with each message and the number of its connection; true: the server does nothing more with it.
+  using Interceptor = std::function<bool(std::size_t, const sip::Message&)>;
+  void set_interceptor(Interceptor interceptor) { interceptor_ = std::move(interceptor); }
   void answer(const std::string& id, const std::string& status_line = "200 OK");
+  // Writes a response to an INVITE of the call on that connection, whatever the state of the call.
+  void write_response(std::size_t connection, const std::string& id, const std::string& status_line);
   void end_call(const std::string& id, int cause = 16);
+  // The call is over at the server, which sends no release.
+  void cut_call(const std::string& id);
+  // Ends the call in the turn in which it accepts the next connection, or in the next turn.
+  void end_call_after_accept(const std::string& id) { ends_after_accept_.push_back(id); }
+  void end_call_in_next_turn(const std::string& id) { ends_in_next_turn_.push_back(id); }
 
   // Neither reads, writes nor accepts; the kernel still accepts connections.
   void freeze() { frozen_ = true; }
@@ -104,16 +129,19 @@
   struct Connection {
     std::unique_ptr<StreamPeer> peer;
     TimePoint next_notification{};
+    bool reported = false;
   };
   struct ServedCall {
     std::string number{};
-    int invite_cseq = 1;
     std::size_t connection{};  // of its INVITE
     std::optional<TimePoint> answered_at{};
     std::optional<TimePoint> ends_at{};
   };
   void listen();
   void accept();
+  void read_connections();
+  void write_due();
+  StreamPeer* find_release_target(std::size_t own_connection);
   void handle_message(std::size_t connection, const sip::Message& message);
   void send_bye(const std::string& id, const std::string& bye);
   void cut_calls();
@@ -132,6 +160,14 @@
   std::optional<Clock::duration> answer_delay_{};
   std::optional<Clock::duration> holding_time_{};
   bool frozen_ = false;
+  TurnOrder turn_order_ = TurnOrder::accept_read_write;
+  ReleaseTarget release_target_ = ReleaseTarget::oldest;
+  Clock::duration turn_interval_{};
+  TimePoint next_turn_{};
+  bool periodic_reports_ = true;
+  Interceptor interceptor_{};
+  std::vector<std::string> ends_after_accept_{};
+  std::vector<std::string> ends_in_next_turn_{};
 };
 
 struct TestbedOptions {
