Platform servers: no attempt beside an earlier one of the call that may be open there

What callers saw: a call was answered and then over, and its release never came.

Cause: servers match messages by Call-ID. Where a call was tried again at one server on another connection, messages of the first attempt overtook those of the second: handle_response() took the first attempt's 200 for a call of its own and sent a BYE, which cut the established one; a late CANCEL did the same. find_attempt() also took a response on the first connection for the second attempt's where the first was gone. Ruled out: releases lost towards the caller, no release line for the call.

Change: an attempt records whether it may be open at its server: its INVITE was sent, and neither a rejection, the server's release nor the server's close of its connection came. While one is, another attempt of that Call-ID at that server goes only on the same connection, in order behind its CANCEL; otherwise it is not sent, and the decision module picks another server. Responses match on their own connection only; 487 ends the cancelled attempt; a rejection after the success of a repeated attempt ends the call on both sides. The SIP trunk has a Call-ID per attempt and is not concerned.

The test release_may_come_on_the_connection_of_an_earlier_attempt played the second attempt on another connection while the first was open, which is now ruled out: the first one gets its 487 before; all its checks stay.

--- a/src/upstream/setup_servers.cpp
+++ b/src/upstream/setup_servers.cpp
@@ -47,6 +47,9 @@
 // How long a finished attempt or released call is retained to match late messages.
 constexpr Duration kFinishedRetention = 10s;
 
+// The response to an INVITE that was cancelled (RFC 3261 §21.4.25).
+constexpr int kRequestTerminated = 487;
+
 // Slack for the arrival of one notification on a server's different connections.
 constexpr Duration kNotificationSlack = 100ms;
 
@@ -72,7 +75,7 @@
       return Outcome::not_sent;
     case 504:
       return Outcome::reset;
-    case 487:
+    case kRequestTerminated:
       return Outcome::cancelled;
     default:
       return Outcome::busy_or_fault;
@@ -379,12 +382,22 @@
   // Bytes that the server had written are lost by a reset, and only by that.
   if (server != nullptr && event.reset && may_receive_releases(*server, event.conn.number))
     server->watch.releases_may_be_lost();
+  if (server != nullptr) mark_closed_by_server(*server, event.conn.number);
   close_connection(now, event.conn.number, true, event.reset ? "reset_by_server" : "closed_by_server", out);
   if (server == nullptr) return;
   if (!has_open_connection(*server)) server->watch.last_connection_lost(now);
   maintain_server(now, *server, out);
 }
 
+// The server has closed the connection: it has given up its unanswered setups, and reads nothing more from
+// it.
+void SetupServers::mark_closed_by_server(const Server& server, std::uint32_t conn) {
+  for (const AttemptKey& key : server.attempts) {
+    UpstreamAttempt& attempt = attempts_.at(key);
+    if (attempt.conn == conn) attempt.may_be_open_at_server = false;
+  }
+}
+
 // Removes a connection, closing it unless the peer did, and ends its outstanding attempts. They are retained
 // as finished: one of them may have been established at the server, which then sends the release on another
 // connection.
@@ -709,10 +722,31 @@
   update_indexes(it->second, true);
   if (server->endpoint.state != ServerState::in_service)
     return fail_queued(now, *server, Outcome::not_sent, out);
+  if (has_open_attempt_elsewhere(*server, it->second)) return withhold_attempt(now, it, out);
   if (server->current) return send_invite(now, *server, it->second, out);
   if (!server->connecting) connect(now, *server, DueConnect{}, out);
 }
 
+// A server matches all messages by Call-ID. On different connections they overtake each other: a BYE or
+// CANCEL of an earlier attempt of the call could cut a later one at the same server, and its late success
+// could be taken for the later one's. On one connection they stay in order.
+bool SetupServers::has_open_attempt_elsewhere(const Server& server, const UpstreamAttempt& attempt) const {
+  const auto [first, last] = by_correlation_id_.equal_range(attempt.request->correlation_id);
+  return std::any_of(first, last, [&](const auto& entry) {
+    const UpstreamAttempt& other = attempts_.at(entry.second);
+    return other.key() != attempt.key() && other.server == server.id && other.may_be_open_at_server &&
+           server.current != other.conn;
+  });
+}
+
+void SetupServers::withhold_attempt(Time now, Attempts::iterator it, Outbox& out) {
+  counters_.add("servers.attempts_withheld");
+  core::AttemptFinished finished;
+  finished.outcome = Outcome::not_sent;
+  finish_attempt(now, it->second, finished, out);
+  erase(it);
+}
+
 void SetupServers::send_invite(Time now, Server& server, UpstreamAttempt& attempt, Outbox& out) {
   // The server may have begun to drain while the connection was being opened.
   if (server.endpoint.state != ServerState::in_service || now >= attempt.deadline) {
@@ -724,6 +758,7 @@
   update_indexes(attempt, false);
   attempt.conn = *server.current;
   update_indexes(attempt, true);
+  attempt.may_be_open_at_server = true;
   enter_state(now, attempt, AttemptState::sent);
   const core::Request& request = *attempt.request;
   sip::Message message =
@@ -762,14 +797,17 @@
 void SetupServers::apply(Time now, const core::ReleaseServer& event, Outbox& out) {
   const auto it = attempts_.find({event.request->call, event.attempt});
   if (it == attempts_.end() || it->second.state != AttemptState::established) return;
-  UpstreamAttempt& attempt = it->second;
+  counters_.add("servers.byes_out");
+  send_bye(now, it->second, event.cause, out);
+  enter_state(now, it->second, AttemptState::finished);
+}
+
+void SetupServers::send_bye(Time now, UpstreamAttempt& attempt, int cause, Outbox& out) {
   sip::Message message =
       make_request("BYE", attempt.request->number_text, attempt.request->correlation_id, attempt.index + 2);
-  message.add("Reason", "Q.850;cause=" + std::to_string(event.cause));
-  counters_.add("servers.byes_out");
+  message.add("Reason", "Q.850;cause=" + std::to_string(cause));
   send(attempt, message, out);
   log_sent(now, "bye_sent", attempt, out);
-  enter_state(now, attempt, AttemptState::finished);
 }
 
 // Sends on the attempt's own connection or, if that is closed, on the server's current one.
@@ -846,14 +884,17 @@
   return {};
 }
 
-// Finds the call's latest attempt at this server, preferring an established one for a BYE and one sent on
-// this connection for a response. Responses match by Call-ID and the CSeq method. The CSeq number is chosen
-// by the server: matched against the attempt's, the response to a second attempt at the same server went to
-// the first, and the call was pending until its deadline.
+// Finds the call's attempt at this server that a message belongs to. Messages match by Call-ID, a response
+// also by the CSeq method and by its connection, since the close of a connection gives up the unanswered
+// setups on it. The CSeq number is chosen by the server: matched against the attempt's, the response to a
+// second attempt at the same server went to the first, and the call was pending until its deadline.
 SetupServers::Attempts::iterator SetupServers::find_attempt(std::uint32_t conn, const sip::Message& message) {
   const ServerId server = connections_.at(conn).server;
-  const auto matches = [&](const UpstreamAttempt& attempt) {
-    return message.is_request() ? attempt.state == AttemptState::established : attempt.conn == conn;
+  // The latest attempt, but an established one for a BYE, and a cancelled one for the response to a CANCEL.
+  const auto is_preferred = [&](const UpstreamAttempt& attempt) {
+    if (message.is_request()) return attempt.state == AttemptState::established;
+    return message.status == kRequestTerminated && attempt.may_be_open_at_server &&
+           (attempt.state == AttemptState::abandoned || attempt.state == AttemptState::finished);
   };
   auto found = attempts_.end();
   const auto [first, last] = by_correlation_id_.equal_range(std::string(message.header("Call-ID")));
@@ -861,8 +902,9 @@
     const auto it = attempts_.find(id_entry->second);
     const UpstreamAttempt& attempt = it->second;
     if (attempt.server != server || attempt.state == AttemptState::queued) continue;
+    if (!message.is_request() && attempt.conn != conn) continue;
     const auto rank = [&](const Attempts::iterator& candidate) {
-      return std::pair(matches(candidate->second), candidate->first);
+      return std::pair(is_preferred(candidate->second), candidate->first);
     };
     if (found == attempts_.end() || rank(it) > rank(found)) found = it;
   }
@@ -870,11 +912,10 @@
 }
 
 void SetupServers::handle_response(Time now, std::uint32_t conn, const sip::Message& message, Outbox& out) {
-  const LoadReport report = parse_load_report(message);
   const auto cseq = sip::cseq_of(message);
   if (!cseq || cseq->method != "INVITE" || message.status < 200) {
     if (cseq && cseq->method == "OPTIONS")
-      out.notify_broker(core::LoadReportReceived{connections_.at(conn).server, report});
+      out.notify_broker(core::LoadReportReceived{connections_.at(conn).server, parse_load_report(message)});
     return;
   }
   const auto it = find_attempt(conn, message);
@@ -898,38 +939,54 @@
     handle_malformed(now, conn, "session description is not UTF-8 or contains another message", out);
     return;
   }
-  const int cseq_number = attempt.index + 1;
   send(attempt,
-       make_request("ACK", attempt.request->number_text, attempt.request->correlation_id, cseq_number), out);
+       make_request("ACK", attempt.request->number_text, attempt.request->correlation_id, attempt.index + 1),
+       out);
   log_sent(now, "ack_sent", attempt, out);
-  core::AttemptFinished finished;
-  finished.report = report;
   if (attempt.state == AttemptState::sent) record_response(now, conn, attempt.state_since, out);
   if (message.status < 300) {
-    counters_.add("servers.answers");
-    if (attempt.state == AttemptState::sent) {
-      enter_state(now, attempt, AttemptState::established);
-      out.notify_broker(core::LoadReportReceived{attempt.server, report});
-      out.notify_broker(core::AttemptEstablished{attempt.request->call, attempt.index, message.body});
-    } else if (attempt.state == AttemptState::abandoned || attempt.state == AttemptState::finished) {
-      // Late success: the response raced the CANCEL, so the call is released at the server.
-      counters_.add("servers.crossed");
-      sip::Message bye =
-          make_request("BYE", attempt.request->number_text, attempt.request->correlation_id, cseq_number + 1);
-      bye.add("Reason", "Q.850;cause=16");
-      send(attempt, bye, out);
-      log_sent(now, "bye_sent", attempt, out);
-      if (attempt.state == AttemptState::abandoned) {
-        finished.outcome = Outcome::cancelled;
-        finished.late_success = true;
-        finish_attempt(now, attempt, finished, out);
-      }
-      enter_state(now, attempt, AttemptState::finished);
-    }
+    handle_invite_success(now, attempt, message, out);
+  } else {
+    handle_invite_failure(now, it, message, out);
+  }
+}
+
+void SetupServers::handle_invite_success(Time now, UpstreamAttempt& attempt, const sip::Message& message,
+                                         Outbox& out) {
+  counters_.add("servers.answers");
+  const LoadReport report = parse_load_report(message);
+  if (attempt.state == AttemptState::sent) {
+    enter_state(now, attempt, AttemptState::established);
+    out.notify_broker(core::LoadReportReceived{attempt.server, report});
+    out.notify_broker(core::AttemptEstablished{attempt.request->call, attempt.index, message.body});
     return;
   }
+  if (attempt.state == AttemptState::established) return;
+  // Late success: the response raced the CANCEL, so the call is released at the server.
+  counters_.add("servers.crossed");
+  send_bye(now, attempt, kCauseNormalClearing, out);
+  if (attempt.state == AttemptState::abandoned) {
+    core::AttemptFinished finished;
+    finished.outcome = Outcome::cancelled;
+    finished.late_success = true;
+    finished.report = report;
+    finish_attempt(now, attempt, finished, out);
+  }
+  enter_state(now, attempt, AttemptState::finished);
+}
+
+void SetupServers::handle_invite_failure(Time now, Attempts::iterator it, const sip::Message& message,
+                                         Outbox& out) {
+  UpstreamAttempt& attempt = it->second;
   counters_.add("servers.refusals." + std::to_string(message.status));
-  if (attempt.state == AttemptState::sent || attempt.state == AttemptState::abandoned) {
+  if (attempt.state == AttemptState::established) {
+    // After a repeated attempt, either response may belong to the earlier one.
+    if (attempt.index > 0) end_contradicted_call(now, attempt, out);
+    return;
+  }
+  if (attempt.outstanding()) {
+    core::AttemptFinished finished;
+    finished.report = parse_load_report(message);
     finished.outcome =
         attempt.state == AttemptState::abandoned ? Outcome::cancelled : outcome_of(message.status);
     read_rejection(message, finished);
@@ -938,7 +995,18 @@
       finished.reason = FullReason::number_busy;
     finish_attempt(now, attempt, finished, out);
   }
-  if (attempt.state != AttemptState::established) erase(it);
+  erase(it);
+}
+
+// Ends a call of which it is unknown whether the server holds it, on both sides.
+void SetupServers::end_contradicted_call(Time now, UpstreamAttempt& attempt, Outbox& out) {
+  counters_.add("servers.calls_contradicted");
+  send_bye(now, attempt, kCauseTemporaryFailure, out);
+  core::AttemptFinished finished;
+  finished.outcome = Outcome::reset;
+  finished.cause = kCauseTemporaryFailure;
+  finish_attempt(now, attempt, finished, out);
+  enter_state(now, attempt, AttemptState::finished);
 }
 
 void SetupServers::handle_request(Time now, std::uint32_t conn, const sip::Message& message, Outbox& out) {
@@ -985,6 +1053,7 @@
   }
   finished.cause = cause;
   finished.report = report;
+  attempt.may_be_open_at_server = false;
   finish_attempt(now, attempt, finished, out);
   enter_state(now, attempt, AttemptState::finished);  // the BYE may be repeated on another connection
 }
--- a/src/upstream/setup_servers.h
+++ b/src/upstream/setup_servers.h
@@ -71,6 +71,9 @@
     Time deadline{};
     Time state_since{};      // begin of `state`
     std::uint64_t ticket{};  // write ticket of its INVITE, once sent
+    // Its INVITE was sent, and neither a final rejection, the server's release nor the server's close of its
+    // connection has come: messages of this attempt may still be on their way in either direction.
+    bool may_be_open_at_server = false;
     bool outstanding() const { return state == AttemptState::sent || state == AttemptState::abandoned; }
     AttemptKey key() const { return {request->call, index}; }
   };
@@ -147,6 +150,13 @@
   static std::string_view name_of_state(AttemptState state);
   void log_sent(Time now, std::string_view event, const UpstreamAttempt& attempt, Outbox& out);
   Attempts::iterator find_attempt(std::uint32_t conn, const sip::Message& message);
+  bool has_open_attempt_elsewhere(const Server& server, const UpstreamAttempt& attempt) const;
+  void withhold_attempt(Time now, Attempts::iterator it, Outbox& out);
+  void handle_invite_success(Time now, UpstreamAttempt& attempt, const sip::Message& message, Outbox& out);
+  void handle_invite_failure(Time now, Attempts::iterator it, const sip::Message& message, Outbox& out);
+  void end_contradicted_call(Time now, UpstreamAttempt& attempt, Outbox& out);
+  void send_bye(Time now, UpstreamAttempt& attempt, int cause, Outbox& out);
+  void mark_closed_by_server(const Server& server, std::uint32_t conn);
   void send(UpstreamAttempt& attempt, const sip::Message& message, Outbox& out);
   void withdraw_setups(Time now, Server& server, Outbox& out);
   void update_readiness(Time now);
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -118,18 +118,6 @@
   CHECK_EQ(lab.messages(lab.s1).at(0).method, "INVITE");
 }
 
-// The value of a counter of the gatekeeper; 0 if it has none of that name.
-std::uint64_t counter_value(GatekeeperLab& lab, const std::string& name) {
-  net::Effects effects;
-  lab.gatekeeper.step(lab.now, net::CountersRequested{}, effects);
-  for (const net::Effect& effect : effects) {
-    const auto* print = std::get_if<net::Print>(&effect);
-    const std::size_t at = print == nullptr ? std::string::npos : print->text.find(name + " ");
-    if (at != std::string::npos) return std::stoull(print->text.substr(at + name.size() + 1));
-  }
-  return 0;
-}
-
 // Guards against ticks, answers and load reports that iterate over the whole endpoint list: the counter
 // servers.looked_at grows only with servers that have pending work.
 void ticks_visit_only_servers_with_pending_work() {
@@ -216,6 +204,7 @@
   lab.advance(100ms);  // no input for 0.6 s: a second connection is opened and takes later setups
   const ConnId next = lab.connects.at(0).conn;
   lab.bring_up();
+  lab.receive(lab.s0, server_answer(first, 487));  // the first attempt is over at the server
   lab.advance(400ms);
   CHECK_EQ(lab.messages(next).at(0).header("Call-ID"), kId);
   lab.receive(next, server_answer(first, 200, "a"));
--- a/tests/ready.h
+++ b/tests/ready.h
@@ -49,4 +49,16 @@
   ConnId s1{};
 };
 
+// The value of a counter of the gatekeeper; 0 if it has none of that name.
+inline std::uint64_t counter_value(GatekeeperLab& lab, const std::string& name) {
+  net::Effects effects;
+  lab.gatekeeper.step(lab.now, net::CountersRequested{}, effects);
+  for (const net::Effect& effect : effects) {
+    const auto* print = std::get_if<net::Print>(&effect);
+    const std::size_t at = print == nullptr ? std::string::npos : print->text.find(name + " ");
+    if (at != std::string::npos) return std::stoull(print->text.substr(at + name.size() + 1));
+  }
+  return 0;
+}
+
 }  // namespace graniterun::test
