Server watch: only bytes are a sign of life, so that calls at a hung server end in time

Cause: ServerWatch::connected() set last_sign_of_life_, from which calls_over() counted for listed servers. The kernel of a stopped process accepts connections, so each connect put the limit off. The test calls_at_an_idle_reachable_server_are_kept asserted just that: the connections of its server carried nothing for 20 s.

Change: calls are over 7.7 s after the last byte in every state of the list. Where connects fail the limit is 7.2 s instead of 5: a hung server's full listen queue fails connects too, and its calls are to be kept for a hang shorter than 8 s.

--- a/src/upstream/server_watch.cpp
+++ b/src/upstream/server_watch.cpp
@@ -14,14 +14,17 @@
 constexpr Duration kIdleSuspicionTimeout = 1200ms;
 // Delay before the next connection is tried while a response is overdue on the newest one as well.
 constexpr Duration kSuspicionRetryDelay = 400ms;
-// Time without a byte from an unreachable server after which its established calls are ended. The operators'
-// rule allows 8 s.
-constexpr Duration kVanishedTimeout = 5s;
+// Time without a byte from an unreachable server after which its established calls are over. The operators'
+// rule allows 8 s from the end of a call; a server that hangs for less than that is to keep its calls.
+constexpr Duration kVanishedTimeout = 7200ms;
+// Time without a byte after which the calls of a server are over that can be reached on its old connection
+// only.
+constexpr Duration kReassignedTimeout = 5s;
 // Time after which the established calls of a server that refuses connections are ended. The port of a dead
 // process refuses at once; a restart within this time is tolerated.
 constexpr Duration kProcessDeathTimeout = 3s;
-// Time without any sign of life after which established calls are over, also if no connect could be tried.
-constexpr Duration kMaxSilence = 7s;
+// Time without a byte after which established calls are over in any case.
+constexpr Duration kMaxSilence = 7700ms;
 
 }  // namespace
 
@@ -51,7 +54,7 @@
   repeat_pending_ = false;
   unreachable_since_.reset();
   lost_at_.reset();
-  last_sign_of_life_ = now;
+  last_reached_at_ = now;
 }
 
 void ServerWatch::connect_failed(Time now, bool refused) {
@@ -66,7 +69,7 @@
 }
 
 void ServerWatch::input_received(Time now) {
-  last_sign_of_life_ = now;
+  last_reached_at_ = now;
   last_input_at_ = now;
   unreachable_since_.reset();
 }
@@ -119,20 +122,19 @@
 std::optional<LostServerReason> ServerWatch::calls_over(Time now, const ServerSituation& situation) const {
   if (!situation.has_established_calls) return {};
   if (situation.address_reassigned) {
-    const bool lost = !situation.has_open_connection || now - last_input_at_ > kVanishedTimeout;
+    const bool lost = !situation.has_open_connection || now - last_input_at_ > kReassignedTimeout;
     return lost ? std::optional(LostServerReason::address_reassigned) : std::nullopt;
   }
   if (last_connect_refused_ && !situation.has_open_connection) {
     const bool removed = situation.listed == ServerState::terminated;
     if (removed || (lost_at_ && now - *lost_at_ > kProcessDeathTimeout)) return LostServerReason::died;
   }
-  if (unreachable_since_ && silence(now) > kVanishedTimeout &&
+  const Duration input_silence = now - last_input_at_;
+  if (unreachable_since_ && input_silence > kVanishedTimeout &&
       now - *unreachable_since_ > 2 * kIdleSuspicionTimeout)
     return LostServerReason::vanished;
-  // The kernel of a hung process accepts connections. A listed server may resume, a removed one is given up.
-  const Duration silence_of_process =
-      situation.listed == ServerState::terminated ? now - last_input_at_ : silence(now);
-  if (silence_of_process > kMaxSilence) return LostServerReason::silent;
+  // The kernel of a hung process accepts connections: only bytes show that it lives.
+  if (input_silence > kMaxSilence) return LostServerReason::silent;
   return {};
 }
 
--- a/src/upstream/server_watch.h
+++ b/src/upstream/server_watch.h
@@ -3,7 +3,7 @@
 // connections, and asked in each tick. It does no I/O and reads no clock. Invariants, for a server with
 // established calls and whatever its state in the endpoint list: a connection is open, being opened or due
 // within kReconnectDelay, unless its address belongs to another server; and calls_over() holds at the latest
-// kMaxSilence after the last sign of life. docs/design/server-watch.md.
+// kMaxSilence after the server's last byte. docs/design/server-watch.md.
 #pragma once
 
 #include <optional>
@@ -70,14 +70,15 @@
   // Whether a connect has succeeded or failed.
   bool connect_attempted() const { return connect_attempted_; }
   bool was_unreachable() const { return unreachable_since_ || lost_at_; }
-  Duration silence(Time now) const { return now - last_sign_of_life_; }
+  // Time since the last byte or successful connect, which a hung process's kernel completes as well.
+  Duration silence(Time now) const { return now - last_reached_at_; }
 
  private:
   bool needs_connection(const ServerSituation& situation) const;
 
-  Time last_sign_of_life_{};  // last byte, or the last successful connect
-  Time last_input_at_{};
-  Time last_repeat_at_{};  // last connect for notifications
+  Time last_reached_at_{};  // last byte, or the last successful connect
+  Time last_input_at_{};    // last byte: the server's process lives
+  Time last_repeat_at_{};   // last connect for notifications
   Time next_connect_{};
   std::optional<Time> unreachable_since_{};  // first of an unbroken run of failed connects
   std::optional<Time> lost_at_{};            // when the last open connection broke; none has come up since
--- a/tests/lab.h
+++ b/tests/lab.h
@@ -225,6 +225,11 @@
          "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
+// The report that a server sends unasked, and first on each new connection.
+inline std::string server_report() {
+  return "NOTIFY sip:x@net SIP/2.0\r\nCall-ID: n\r\nP-Load: x0:30;x1:40\r\nContent-Length: 0\r\n\r\n";
+}
+
 inline std::string server_bye(const std::string& call_id, int cause) {
   return "BYE sip:x@net SIP/2.0\r\nVia: SIP/2.0/TCP peer\r\nCall-ID: " + call_id +
          "\r\nCSeq: 1 BYE\r\nReason: Q.850;cause=" + std::to_string(cause) + "\r\nContent-Length: 0\r\n\r\n";
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -631,7 +631,7 @@
   CHECK(std::find(lab.closed.begin(), lab.closed.end(), lab.s0) != lab.closed.end());
 }
 
-// The server sends nothing but accepts connections.
+// The server has nothing to send but the report that comes first on each new connection.
 void calls_at_an_idle_reachable_server_are_kept() {
   ConnectedLab lab;
   lab.receive(kCaller, setup_line_with_key());
@@ -639,11 +639,26 @@
   lab.line();
   for (int i = 0; i < 200; ++i) {
     lab.advance(100ms);
-    lab.bring_up();
+    for (const ConnId conn : lab.bring_up("127.0.0.1:9000")) lab.receive(conn, server_report());
   }
   CHECK(lab.lines(kCaller).empty());
 }
 
+// Connections come up and carry nothing: the kernel of a hung process accepts them. Its calls are over within
+// 8 s of its last byte, and not much earlier, since it may resume.
+void calls_at_a_server_that_hangs_for_eight_seconds_are_released() {
+  ConnectedLab lab;
+  lab.receive(kCaller, setup_line_with_key());
+  lab.receive(lab.s0, server_answer(lab.invite(lab.s0), 200, "a"));
+  lab.line();
+  for (int i = 0; i < 80; ++i) {
+    CHECK(i >= 75 || lab.lines(kCaller).empty());
+    lab.advance(100ms);
+    lab.bring_up();
+  }
+  CHECK_EQ(lab.line().type, "release");
+}
+
 // Calls are not bound to a connection.
 void release_is_sent_on_another_connection() {
   ConnectedLab lab;
@@ -951,6 +966,7 @@
   release_of_an_unknown_call_is_forwarded();
   setups_at_an_unreachable_server_are_retried_elsewhere();
   calls_at_an_idle_reachable_server_are_kept();
+  calls_at_a_server_that_hangs_for_eight_seconds_are_released();
   release_is_sent_on_another_connection();
   malformed_lines_are_rejected_and_affect_no_other_call();
   open_id_belongs_to_its_caller();
