Read connections to setup servers to their end; two connections follow a drop

What callers saw: releases late or never, beside one hung server, and at a server that lives and has nothing to send.

Cause: SetupServers::close_non_current() dropped connections without a byte for 0.6 s while releases were expected on them, and drop_connections() opened one in the same step. A release on its way on the dropped one was lost. The server repeats it on the next connection opened: that could be one dropped in its listen queue (never released, in after_hang_write_accept_read), or had been accepted before the release was written (2.7 s, in quiet_server_accept_write_read). In the runtime, a failed write closed a connection with its unread input.

Change, after docs/design/server-watch.md: such a connection is retired. Its sending direction is closed (net::FinishSending) and it is read until the server closes it; ConnectionLifecycle, pure and listed under policy, decides. Only malformed input, a reset or a close within a message loses bytes: two connections follow, the second 0.25 s after the first has carried a byte. A failed write delivers the unread input first.

Test bed: a frozen or vanished server wrote noise and closed connections, which a stopped process can't; those faults now count only where they take effect.

--- a/lab/call_testbed.cpp
+++ b/lab/call_testbed.cpp
@@ -298,7 +298,7 @@
   cut_calls();
   listener_ = test::Socket();
   backlog_fillers_.clear();
-  reset_connections();
+  for (auto& [number, connection] : connections_) connection.peer->reset();
   connections_.clear();
 }
 
@@ -310,17 +310,23 @@
 
 void StandInServer::stop_listening() { listener_ = test::Socket(); }
 
-void StandInServer::close_connections() {
+bool StandInServer::close_connections() {
+  if (frozen_) return false;
   for (auto& [number, connection] : connections_) connection.peer->close();
+  return true;
 }
 
-void StandInServer::reset_connections() {
+bool StandInServer::reset_connections() {
+  if (frozen_) return false;
   for (auto& [number, connection] : connections_) connection.peer->reset();
+  return true;
 }
 
-void StandInServer::write_noise() {
+bool StandInServer::write_noise() {
+  if (frozen_) return false;
   for (auto& [number, connection] : connections_)
     connection.peer->write("no message of this protocol\r\n\r\n");
+  return true;
 }
 
 void StandInServer::collect_descriptors(std::vector<int>& descriptors) const {
--- a/src/net/events.h
+++ b/src/net/events.h
@@ -192,6 +192,11 @@
 struct Drop {  // immediately; bytes that can't be written now are lost
   ConnId conn;
 };
+// Closes the sending direction after all sent bytes are written. Input is delivered until the peer closes,
+// then Closed. Later Sends are ignored.
+struct FinishSending {
+  ConnId conn;
+};
 struct CloseIfIdle {  // does nothing if the socket has unread input; Received will deliver that
   ConnId conn;
   bool at_once = false;  // frees the descriptor immediately: does not wait until the peer closes
@@ -227,9 +232,9 @@
   int status{};
 };
 
-using Effect =
-    std::variant<Listen, StopListening, Bind, Unbind, Connect, Send, WithdrawSend, SendDatagram, Consume,
-                 Close, Drop, CloseIfIdle, ArmTimer, ReadFile, WriteFile, Log, Print, Exit, ExitIfIdle>;
+using Effect = std::variant<Listen, StopListening, Bind, Unbind, Connect, Send, WithdrawSend, SendDatagram,
+                            Consume, Close, Drop, FinishSending, CloseIfIdle, ArmTimer, ReadFile, WriteFile,
+                            Log, Print, Exit, ExitIfIdle>;
 using Effects = std::vector<Effect>;
 
 }  // namespace graniterun::net
--- a/src/net/outbox.h
+++ b/src/net/outbox.h
@@ -33,6 +33,7 @@
   }
   void close(net::ConnId conn) { net.push_back(net::Close{conn}); }
   void drop(net::ConnId conn) { net.push_back(net::Drop{conn}); }
+  void finish_sending(net::ConnId conn) { net.push_back(net::FinishSending{conn}); }
   void arm(net::Concern concern, std::uint64_t number, Time at) {
     net.push_back(net::ArmTimer{{concern, number}, at});
   }
--- a/src/net/runtime.cpp
+++ b/src/net/runtime.cpp
@@ -213,7 +213,8 @@
     Time connect_deadline{};
     bool connected = false;
     bool closing = false;
-    bool write_closed = false;  // all is written and the sending direction shut down; input is discarded
+    bool finishing = false;  // the sending direction is closed once all is written; input is still delivered
+    bool write_closed = false;  // all is written and the sending direction shut down
     std::size_t discarded_bytes = 0;
     struct Ticketed {  // a message that is to be counted, and may be withdrawn
       std::uint64_t ticket;
@@ -568,7 +569,7 @@
 
   void carry_out(const Send& e) {
     const auto it = connections_.find(e.conn);
-    if (it == connections_.end() || it->second->closing) return;
+    if (it == connections_.end() || it->second->closing || it->second->finishing) return;
     if (!it->second->out.append(e.bytes)) return close_overflowed(e.conn);
     const std::uint64_t begin = it->second->sent;
     it->second->sent += e.bytes.size();
@@ -661,6 +662,12 @@
       g_socket_send(it->second->socket.get(), bytes.data(), bytes.size(), nullptr, nullptr);
     connections_.erase(it);
   }
+  void carry_out(const FinishSending& e) {
+    const auto it = connections_.find(e.conn);
+    if (it == connections_.end() || !it->second->connected) return;
+    it->second->finishing = true;
+    dirty_.push_back(e.conn);
+  }
   void carry_out(const CloseIfIdle& e) {
     const auto it = connections_.find(e.conn);
     if (it == connections_.end() || it->second->closing) return;
@@ -875,9 +882,9 @@
     const auto it = connections_.find(id);
     if (it == connections_.end() || !it->second->connected) return;
     Connection& connection = *it->second;
-    if (!write_some(id)) return close_lost(id, true);
+    if (!write_some(id)) return close_unwritable(id);
     if (!connection.out.empty()) {
-      if (connection.out.size() > limits_.outbound_pause)
+      if (connection.out.size() > limits_.outbound_pause && !connection.finishing)
         pause_reading(connection);  // the peer must read its answers to send more requests
       arm_unread_check(connection);
       connection.writing = true;
@@ -886,7 +893,7 @@
     }
     connection.writing = false;
     update_watch(connection);
-    if (connection.closing && !connection.write_closed) {
+    if ((connection.closing || connection.finishing) && !connection.write_closed) {
       connection.write_closed = true;
       g_socket_shutdown(connection.socket.get(), FALSE, TRUE, nullptr);
     }
@@ -924,6 +931,14 @@
     if (!would_block) close_lost(id, reset);
   }
 
+  // A write failed: the peer has closed. What it sent before, possibly unread yet, is delivered first.
+  void close_unwritable(ConnId id) {
+    for (auto it = connections_.find(id); it != connections_.end() && has_unread(*it->second);
+         it = connections_.find(id))
+      read(id);
+    close_lost(id, true);
+  }
+
   void close_lost(ConnId id, bool reset) {
     const auto it = connections_.find(id);
     if (it == connections_.end()) return;
--- a/src/upstream/server_watch.cpp
+++ b/src/upstream/server_watch.cpp
@@ -1,5 +1,6 @@
 #include "upstream/server_watch.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace graniterun::upstream {
@@ -9,6 +10,10 @@
 
 // Minimum time between two connections that are opened because releases may be lost.
 constexpr Duration kRepeatDelay = 50ms;
+// Minimum time between two connections that replace silent ones.
+constexpr Duration kReplaceInterval = 600ms;
+// Time in which a live server notices that a connection was closed.
+constexpr Duration kCloseNoticeTime = 250ms;
 // Time without a byte from a server with calls until a new connection to it is tried. A machine that vanishes
 // leaves its old connection half-open.
 constexpr Duration kIdleSuspicionTimeout = 1200ms;
@@ -57,6 +62,23 @@
   last_reached_at_ = now;
 }
 
+void ServerWatch::connection_proven(Time now, std::uint32_t number) {
+  if (!last_before_loss_ || number <= *last_before_loss_) return;
+  last_before_loss_.reset();
+  repeat_needed_ = true;
+  next_repeat_ = now + kCloseNoticeTime;
+}
+
+void ServerWatch::releases_may_be_lost(Time now, std::uint32_t last_started) {
+  repeat_needed_ = true;
+  last_before_loss_ = last_started;
+  next_repeat_ = now;
+}
+
+void ServerWatch::repeat_requested(Time now) {
+  if (now >= last_repeat_at_ + kReplaceInterval) repeat_needed_ = true;
+}
+
 void ServerWatch::connect_failed(Time now, bool refused) {
   connect_not_possible();
   last_connect_refused_ = refused;
@@ -103,7 +125,9 @@
     if (now < next_connect_) return {};
     return DueConnect{};
   }
-  if (repeat_needed_ && !situation.notification_connections_full && now >= last_repeat_at_ + kRepeatDelay)
+  const bool releases_expected = situation.has_live_attempts || situation.may_have_former_calls;
+  const bool repeat_due = now >= std::max(last_repeat_at_ + kRepeatDelay, next_repeat_);
+  if (repeat_needed_ && releases_expected && repeat_due && !situation.notification_connections_full)
     return DueConnect{ConnectPurpose::notifications};
   const bool idle = silence(now) > kIdleSuspicionTimeout;
   const bool unresponsive = situation.has_attempts && (idle || situation.response_overdue);
--- a/src/upstream/server_watch.h
+++ b/src/upstream/server_watch.h
@@ -55,8 +55,13 @@
   // The connect failed for want of a descriptor or port here, which says nothing about the server.
   void connect_not_possible();
   void input_received(Time now);
-  // A connection was reset, or dropped here, while releases were expected on it.
-  void releases_may_be_lost() { repeat_needed_ = true; }
+  // A connection has carried its first byte. Connections are numbered in the order in which they are started.
+  void connection_proven(Time now, std::uint32_t number);
+  // A connection was reset or dropped unread while releases were expected on it. Two connections follow: the
+  // server may have accepted the first of them before it wrote a release to the lost one.
+  void releases_may_be_lost(Time now, std::uint32_t last_started);
+  // Releases are expected on a connection that is silent, and that is still read.
+  void repeat_requested(Time now);
   // The server closed its last open connection.
   void last_connection_lost(Time now);
 
@@ -86,6 +91,9 @@
   bool connect_attempted_ = false;
   bool repeat_needed_ = false;   // a connection must be opened on which the server repeats its releases
   bool repeat_pending_ = false;  // the connect in progress is to be that one
+  // Releases may be lost; the last connection started before. Until a later one has carried a byte.
+  std::optional<std::uint32_t> last_before_loss_{};
+  Time next_repeat_{};
 };
 
 }  // namespace graniterun::upstream
--- a/src/upstream/setup_servers.cpp
+++ b/src/upstream/setup_servers.cpp
@@ -29,14 +29,8 @@
 // A connection with outstanding setups counts as half-open when another one answers a setup sent this much
 // later.
 constexpr Duration kReorderThreshold = 100ms;
-constexpr std::size_t kMaxConnections = 3;  // per server, for setups
-constexpr std::size_t kMaxNotificationConnections =
-    3;  // per server, in addition; each is closed or replaced when idle
-// Time without a byte after which a notification connection is closed if no release is expected on it.
-constexpr Duration kNotificationIdleTimeout = 300ms;
-// Time without a byte after which a notification connection is replaced if releases of established calls are
-// expected on it.
-constexpr Duration kNotificationReplaceTimeout = 600ms;
+constexpr std::size_t kMaxConnections = 3;              // per server, for setups
+constexpr std::size_t kMaxNotificationConnections = 3;  // per server, in addition; without retired ones
 // How long after the start of the process a server that drains may still have calls of an earlier process of
 // this gatekeeper. Almost all calls are shorter.
 constexpr Duration kFormerCallsTimeout = 60s;
@@ -305,7 +299,7 @@
   it->second.last_received_at = now;
   Server* server = find_server(it->second.server);
   if (server == nullptr || !ServerWatch::keeps_connections(situation_of(now, *server)))
-    return close_connection(now, event.conn.number, false, "server_removed", out);
+    return retire_connection(now, event.conn.number, "server_removed", out);
   out.debug(now, [&] {
     return "connection_opened server=" + server->endpoint.uid + " conn=" + std::to_string(event.conn.number);
   });
@@ -358,7 +352,7 @@
     out.log(net::Level::info,
             "setup server " + server->endpoint.uid +
                 " is unresponsive and a new connect timed out: ending its outstanding attempts");
-    close_connection(now, *server->current, false, "unresponsive", out);
+    retire_connection(now, *server->current, "unresponsive", out);
   }
   fail_queued(now, *server, Outcome::no_connection, out);
 }
@@ -379,11 +373,13 @@
   if (it == connections_.end()) return;
   counters_.add("servers.connections_lost");
   Server* server = find_server(it->second.server);
-  // Bytes that the server had written are lost by a reset, and only by that.
-  if (server != nullptr && event.reset && may_receive_releases(*server, event.conn.number))
-    server->watch.releases_may_be_lost();
+  // Bytes that the server had written are lost by a reset, and the rest of a message that was cut short.
+  const bool cut = event.reset || it->second.partial_since;
+  if (server != nullptr && cut &&
+      (may_receive_releases(*server, event.conn.number) || may_have_former_calls(now, *server)))
+    server->watch.releases_may_be_lost(now, last_connection_);
   if (server != nullptr) mark_closed_by_server(*server, event.conn.number);
-  close_connection(now, event.conn.number, true, event.reset ? "reset_by_server" : "closed_by_server", out);
+  remove_connection(now, event.conn.number, event.reset ? "reset_by_server" : "closed_by_server", out);
   if (server == nullptr) return;
   if (!has_open_connection(*server)) server->watch.last_connection_lost(now);
   maintain_server(now, *server, out);
@@ -398,18 +394,20 @@
   }
 }
 
-// Removes a connection, closing it unless the peer did, and ends its outstanding attempts. They are retained
-// as finished: one of them may have been established at the server, which then sends the release on another
-// connection.
-void SetupServers::close_connection(Time now, std::uint32_t conn, bool already_closed,
-                                    std::string_view reason, Outbox& out) {
-  if (!already_closed) out.close({net::Concern::server, conn});
-  const auto it = connections_.find(conn);
-  if (it == connections_.end()) return;
+void SetupServers::log_connection(Time now, std::string_view event, std::uint32_t conn,
+                                  std::string_view reason, Outbox& out) const {
   out.debug(now, [&] {
-    return "connection_closed server=" + name_of(it->second.server) + " conn=" + std::to_string(conn) +
-           " reason=" + std::string(reason) + " outstanding=" + std::to_string(it->second.outstanding.size());
+    const Connection& connection = connections_.at(conn);
+    return std::string(event) + " server=" + name_of(connection.server) + " conn=" + std::to_string(conn) +
+           " reason=" + std::string(reason) + " outstanding=" + std::to_string(connection.outstanding.size());
   });
+}
+
+// Removes a connection that is closed, and ends its outstanding attempts.
+void SetupServers::remove_connection(Time now, std::uint32_t conn, std::string_view reason, Outbox& out) {
+  const auto it = connections_.find(conn);
+  if (it == connections_.end()) return;
+  log_connection(now, "connection_closed", conn, reason, out);
   Server* server = find_server(it->second.server);
   if (server != nullptr) {
     if (server->current == conn) server->current.reset();
@@ -417,16 +415,56 @@
     server->connections.erase(conn);
     servers_to_maintain_.insert(server->id);
   }
-  const std::set<AttemptKey> outstanding = std::move(it->second.outstanding);
+  Connection connection = std::move(it->second);
   connections_.erase(it);
-  for (const AttemptKey& key : outstanding) {
+  end_outstanding(now, connection, out);
+  if (server != nullptr && server->address_reassigned) end_calls_without_connection(now, *server, out);
+}
+
+// Ends the attempts without a final response. They are retained as finished: one of them may have been
+// established at the server, which then sends the release on another connection.
+void SetupServers::end_outstanding(Time now, Connection& connection, Outbox& out) {
+  for (const AttemptKey& key : std::exchange(connection.outstanding, {})) {
     UpstreamAttempt& attempt = attempts_.at(key);
     core::AttemptFinished finished;
     finished.outcome = attempt.state == AttemptState::sent ? Outcome::reset : Outcome::cancelled;
     finish_attempt(now, attempt, finished, out);
     enter_state(now, attempt, AttemptState::finished);
   }
-  if (server != nullptr && server->address_reassigned) end_calls_without_connection(now, *server, out);
+}
+
+// Closes the sending direction of a connection, which gives up its outstanding attempts, and goes on reading
+// it until the server closes it.
+void SetupServers::retire_connection(Time now, std::uint32_t conn, std::string_view reason, Outbox& out) {
+  Connection& connection = connections_.at(conn);
+  if (connection.retired_at) return;
+  log_connection(now, "connection_retired", conn, reason, out);
+  out.finish_sending({net::Concern::server, conn});
+  connection.retired_at = now;
+  connection.last_before_retired = last_connection_;
+  non_current_connections_.insert(conn);
+  Server* server = find_server(connection.server);
+  if (server != nullptr) {
+    if (server->current == conn) server->current.reset();
+    if (server->connecting == conn) server->connecting.reset();
+    servers_to_maintain_.insert(server->id);
+  }
+  end_outstanding(now, connection, out);
+  if (server != nullptr) limit_retired(now, *server, out);
+}
+
+void SetupServers::limit_retired(Time now, Server& server, Outbox& out) {
+  const std::vector<std::uint32_t> retired = retired_connections(server);
+  if (retired.size() <= kMaxRetiredConnections) return;
+  counters_.add("servers.retired_connections_full");
+  drop_connection(now, retired.front(), "retired_connections_full", out);
+}
+
+// Retires a connection and opens one on which the server repeats the releases that it has sent.
+void SetupServers::replace_connection(Time now, std::uint32_t conn, std::string_view reason, Outbox& out) {
+  Server* server = find_server(connections_.at(conn).server);
+  if (server != nullptr && may_receive_releases(*server, conn)) server->watch.repeat_requested(now);
+  retire_connection(now, conn, reason, out);
 }
 
 void SetupServers::handle_malformed(Time now, std::uint32_t conn, const std::string& error, Outbox& out) {
@@ -435,38 +473,32 @@
   drop_connection(now, conn, "malformed_message", out);
 }
 
-// Whether an established call belongs to this connection or to one that is closed; a server sends the
+bool SetupServers::is_open(std::uint32_t conn) const {
+  const auto it = connections_.find(conn);
+  return it != connections_.end() && !it->second.retired_at;
+}
+
+// Whether an established call belongs to this connection or to one that is not open; a server sends the
 // releases of the latter on any of its connections.
 bool SetupServers::may_receive_releases(const Server& server, std::uint32_t conn) const {
   return std::any_of(server.attempts.begin(), server.attempts.end(), [&](const AttemptKey& key) {
     const UpstreamAttempt& attempt = attempts_.at(key);
-    return attempt.state == AttemptState::established &&
-           (attempt.conn == conn || !connections_.contains(attempt.conn));
+    return attempt.state == AttemptState::established && (attempt.conn == conn || !is_open(attempt.conn));
   });
 }
 
+// Drops a connection unread, and opens one in its place if releases may be lost by that. Dropped at once
+// instead of read until the peer closes it: what comes on it can't be parsed any more, and until then the
+// server would go on sending releases on it.
 void SetupServers::drop_connection(Time now, std::uint32_t conn, std::string_view reason, Outbox& out) {
-  drop_connections(now, {conn}, reason, out);
-}
-
-// All are dropped before a connection is opened in their place: the server repeats a release that was not
-// read here on the next connection opened, and only there.
-void SetupServers::drop_connections(Time now, const std::vector<std::uint32_t>& conns,
-                                    std::string_view reason, Outbox& out) {
-  std::set<ServerId> servers;
-  for (const std::uint32_t conn : conns) {
-    const auto it = connections_.find(conn);
-    if (it == connections_.end()) continue;
-    if (Server* server = find_server(it->second.server)) {
-      if (may_receive_releases(*server, conn)) server->watch.releases_may_be_lost();
-      servers.insert(server->id);
-    }
-    // Dropped at once instead of read until the peer closes it: until then the server would go on sending
-    // releases on it, which would be discarded.
-    out.drop({net::Concern::server, conn});
-    close_connection(now, conn, true, reason, out);
-  }
-  for (const ServerId id : servers) maintain_server(now, servers_.at(id), out);
+  const auto it = connections_.find(conn);
+  if (it == connections_.end()) return;
+  Server* server = find_server(it->second.server);
+  if (server != nullptr && (may_receive_releases(*server, conn) || may_have_former_calls(now, *server)))
+    server->watch.releases_may_be_lost(now, last_connection_);
+  out.drop({net::Concern::server, conn});
+  remove_connection(now, conn, reason, out);
+  if (server != nullptr) maintain_server(now, *server, out);
 }
 
 bool SetupServers::has_open_connection(const Server& server) const {
@@ -474,6 +506,21 @@
                              [this](std::uint32_t number) { return connections_.at(number).up; });
 }
 
+// Whether calls of an earlier process of this gatekeeper may be at the server.
+bool SetupServers::may_have_former_calls(Time now, const Server& server) const {
+  return now - started_at_ < kFormerCallsTimeout &&
+         (server.endpoint.state != ServerState::terminated || !server.connections.empty() ||
+          removed_server_connects_ < kMaxRemovedServerConnects);
+}
+
+std::vector<std::uint32_t> SetupServers::retired_connections(const Server& server) const {
+  std::vector<std::uint32_t> retired;
+  for (const std::uint32_t number : server.connections) {
+    if (connections_.at(number).retired_at) retired.push_back(number);
+  }
+  return retired;
+}
+
 ServerSituation SetupServers::situation_of(Time now, const Server& server) const {
   ServerSituation situation;
   situation.listed = server.endpoint.state;
@@ -481,10 +528,7 @@
   situation.has_attempts = !server.attempts.empty();
   situation.has_live_attempts = server.live_attempts > 0;
   situation.has_established_calls = server.established_calls > 0;
-  situation.may_have_former_calls =
-      now - started_at_ < kFormerCallsTimeout &&
-      (server.endpoint.state != ServerState::terminated || !server.connections.empty() ||
-       removed_server_connects_ < kMaxRemovedServerConnects);
+  situation.may_have_former_calls = may_have_former_calls(now, server);
   situation.has_current_connection = server.current.has_value();
   situation.has_open_connection = has_open_connection(server);
   situation.connecting = server.connecting.has_value();
@@ -535,7 +579,8 @@
 std::size_t SetupServers::count_connections(const Server& server, bool notifications_only) const {
   return static_cast<std::size_t>(
       std::count_if(server.connections.begin(), server.connections.end(), [&](std::uint32_t number) {
-        return connections_.at(number).notifications_only == notifications_only;
+        const Connection& connection = connections_.at(number);
+        return !connection.retired_at && connection.notifications_only == notifications_only;
       }));
 }
 
@@ -584,36 +629,55 @@
     counters_.add("servers.messages_cut_short");
     drop_connection(now, number, "message_timed_out", out);
   }
-  close_non_current(now, out);
+  check_non_current(now, out);
+}
+
+ConnectionSituation SetupServers::situation_of(Time now, std::uint32_t conn) const {
+  const Connection& connection = connections_.at(conn);
+  ConnectionSituation situation;
+  situation.notifications_only = connection.notifications_only;
+  situation.has_outstanding = !connection.outstanding.empty();
+  situation.received_input = connection.received_input;
+  situation.silence = now - connection.last_received_at;
+  if (connection.retired_at) situation.retired_for = now - *connection.retired_at;
+  const auto it = servers_.find(connection.server);
+  if (it == servers_.end()) return situation;
+  const Server& server = it->second;
+  situation.current = server.current == conn;
+  situation.releases_expected = may_receive_releases(server, conn);
+  situation.calls_possible = server.established_calls > 0 || may_have_former_calls(now, server);
+  situation.replaceable = !server.address_reassigned;
+  situation.server_alive_since_retirement =
+      connection.retired_at && server.newest_proven > connection.last_before_retired;
+  situation.retired_slots_full = retired_connections(server).size() >= kMaxRetiredConnections;
+  return situation;
 }
 
-// Closes non-current connections without outstanding attempts. A closed connection is no longer read, but the
-// server may send releases of established calls on it. Unless a connection replaces it, those releases are
-// lost, whether or not the old connection was half-open.
-void SetupServers::close_non_current(Time now, Outbox& out) {
-  std::vector<std::uint32_t> idle;
-  std::vector<std::uint32_t> to_replace;
+// Retires, replaces or drops the connections that are not their server's current one, as ConnectionLifecycle
+// decides. All are retired before a connection is opened in their place.
+void SetupServers::check_non_current(Time now, Outbox& out) {
+  std::set<ServerId> replaced;
   for (const std::uint32_t number : std::set<std::uint32_t>(non_current_connections_)) {
     const auto it = connections_.find(number);
     if (it == connections_.end()) {
       non_current_connections_.erase(number);
       continue;
     }
-    const Connection& connection = it->second;
-    const Server* server = find_server(connection.server);
-    if (!connection.outstanding.empty()) continue;
-    const bool releases_expected = server != nullptr && may_receive_releases(*server, number);
-    // No connection can replace it.
-    if (releases_expected && server->address_reassigned) continue;
-    // A live connection is not dropped: a release may be on its way on it.
-    if ((connection.notifications_only || releases_expected) &&
-        now - connection.last_received_at <
-            (releases_expected ? kNotificationReplaceTimeout : kNotificationIdleTimeout))
-      continue;
-    (releases_expected ? to_replace : idle).push_back(number);
+    const ConnectionAction action = decide_connection(situation_of(now, number));
+    if (action == ConnectionAction::keep) continue;
+    if (action == ConnectionAction::drop) {
+      drop_connection(now, number, "not_closed_by_server", out);
+    } else if (action == ConnectionAction::retire) {
+      retire_connection(now, number, "idle", out);
+    } else {
+      replaced.insert(it->second.server);
+      if (Server* server = find_server(it->second.server)) server->watch.repeat_requested(now);
+      if (action == ConnectionAction::retire_and_replace) retire_connection(now, number, "silent", out);
+    }
+  }
+  for (const ServerId id : replaced) {
+    if (Server* server = find_server(id)) maintain_server(now, *server, out);
   }
-  for (const std::uint32_t number : idle) close_connection(now, number, false, "idle", out);
-  drop_connections(now, to_replace, "silent", out);
 }
 
 // Maintains the servers on the work list and removes those that need no more. Checking every server of a long
@@ -812,7 +876,7 @@
 
 // Sends on the attempt's own connection or, if that is closed, on the server's current one.
 void SetupServers::send(UpstreamAttempt& attempt, const sip::Message& message, Outbox& out) {
-  if (!connections_.contains(attempt.conn)) {
+  if (!is_open(attempt.conn)) {
     const Server* server = find_server(attempt.server);
     if (server == nullptr || !server->current) return;
     attempt.conn = *server->current;
@@ -827,16 +891,7 @@
   while (used < event.bytes.size()) {
     const auto it = connections_.find(event.conn.number);
     if (it == connections_.end()) return;
-    it->second.last_received_at = now;
-    if (!std::exchange(it->second.received_input, true)) {
-      out.debug(now, [&] {
-        return "connection_first_input server=" + name_of(it->second.server) +
-               " conn=" + std::to_string(event.conn.number);
-      });
-    }
-    if (Server* server = find_server(it->second.server)) {
-      server->watch.input_received(now);
-    }
+    record_input(now, event.conn.number, out);
     const sip::ReadResult read = sip::read_stream(event.bytes.substr(used));
     used += read.used;
     if (read.state == sip::ReadState::more) {
@@ -868,6 +923,20 @@
   out.net.push_back(net::Consume{event.conn, used});
 }
 
+void SetupServers::record_input(Time now, std::uint32_t conn, Outbox& out) {
+  Connection& connection = connections_.at(conn);
+  Server* server = find_server(connection.server);
+  connection.last_received_at = now;
+  if (server != nullptr) server->watch.input_received(now);
+  if (std::exchange(connection.received_input, true)) return;
+  out.debug(now, [&] {
+    return "connection_first_input server=" + name_of(connection.server) + " conn=" + std::to_string(conn);
+  });
+  if (server == nullptr) return;
+  server->newest_proven = std::max(server->newest_proven, conn);
+  server->watch.connection_proven(now, conn);
+}
+
 // Whether a response establishes a call; its body is forwarded to the caller.
 bool SetupServers::is_invite_success(const sip::Message& message) {
   const auto cseq = sip::cseq_of(message);
@@ -1076,7 +1145,8 @@
   maintenance_checks_ += server->connections.size();
   for (const std::uint32_t number : server->connections) {
     const Connection& other = connections_.at(number);
-    if (number != conn && other.up && now - other.last_received_at > notification_timeout)
+    if (number != conn && other.up && !other.retired_at &&
+        now - other.last_received_at > notification_timeout)
       half_open.push_back(number);
   }
   close_half_open(now, *server, half_open, out);
@@ -1103,14 +1173,15 @@
   close_half_open(now, *server, half_open, out);
 }
 
-void SetupServers::close_half_open(Time now, const Server& server,
-                                   const std::vector<std::uint32_t>& half_open, Outbox& out) {
+void SetupServers::close_half_open(Time now, Server& server, const std::vector<std::uint32_t>& half_open,
+                                   Outbox& out) {
   for (const std::uint32_t number : half_open) {
     counters_.add("servers.connections_deaf");
     out.log(net::Level::info,
             "a connection to setup server " + server.endpoint.uid + " is half-open: closing it");
-    drop_connection(now, number, "half_open", out);
+    replace_connection(now, number, "half_open", out);
   }
+  if (!half_open.empty()) maintain_server(now, server, out);
 }
 
 void SetupServers::finish_attempt(Time now, const UpstreamAttempt& attempt, core::AttemptFinished finished,
--- a/src/upstream/setup_servers.h
+++ b/src/upstream/setup_servers.h
@@ -16,6 +16,7 @@
 #include "core/counters.h"
 #include "core/deadline_queue.h"
 #include "net/outbox.h"
+#include "upstream/connection_lifecycle.h"
 #include "upstream/directory.h"
 #include "upstream/server_watch.h"
 
@@ -88,6 +89,8 @@
     std::set<AttemptKey> outstanding{};      // sent or abandoned, without a final response
     bool received_input = false;             // a byte has arrived: the server has accepted it
     bool notifications_only = false;  // sends no setups; opened so that the server repeats its releases on it
+    std::optional<Time> retired_at{};  // since then its sending direction is closed; it is read to its end
+    std::uint32_t last_before_retired = 0;  // the last connection that was started before that
   };
   struct Server {
     Endpoint endpoint;
@@ -104,7 +107,8 @@
     int live_attempts = 0;             // in any state but `finished`
     int established_calls = 0;
     std::set<std::pair<Time, AttemptKey>> outstanding{};  // attempts in state `sent`, by send time
-    std::set<std::uint32_t> connections{};                // open or being opened
+    std::set<std::uint32_t> connections{};                // open, retired or being opened
+    std::uint32_t newest_proven = 0;  // the last opened connection that has carried a byte
   };
 
   Server* find_server(ServerId id);
@@ -122,7 +126,8 @@
   void end_calls_if(Time now, Server& server, Outbox& out, Predicate is_over);
   void maintain_server(Time now, Server& server, Outbox& out);
   void maintain_servers(Time now, Outbox& out);
-  void close_non_current(Time now, Outbox& out);
+  void check_non_current(Time now, Outbox& out);
+  ConnectionSituation situation_of(Time now, std::uint32_t conn) const;
   void clear_current_connection(Server& server);
   void handle_response(Time now, std::uint32_t conn, const sip::Message& message, Outbox& out);
   void handle_request(Time now, std::uint32_t conn, const sip::Message& message, Outbox& out);
@@ -131,17 +136,23 @@
   void update_indexes(const UpstreamAttempt& attempt, bool insert);
   void erase(Attempts::iterator attempt);
   void end_established_calls(Time now, Server& server, std::optional<Time> established_before, Outbox& out);
-  void close_connection(Time now, std::uint32_t conn, bool already_closed, std::string_view reason,
-                        Outbox& out);
+  void remove_connection(Time now, std::uint32_t conn, std::string_view reason, Outbox& out);
+  void end_outstanding(Time now, Connection& connection, Outbox& out);
+  void retire_connection(Time now, std::uint32_t conn, std::string_view reason, Outbox& out);
+  void replace_connection(Time now, std::uint32_t conn, std::string_view reason, Outbox& out);
+  void limit_retired(Time now, Server& server, Outbox& out);
+  void log_connection(Time now, std::string_view event, std::uint32_t conn, std::string_view reason,
+                      Outbox& out) const;
   void handle_malformed(Time now, std::uint32_t conn, const std::string& error, Outbox& out);
   void drop_connection(Time now, std::uint32_t conn, std::string_view reason, Outbox& out);
-  void drop_connections(Time now, const std::vector<std::uint32_t>& conns, std::string_view reason,
-                        Outbox& out);
+  void record_input(Time now, std::uint32_t conn, Outbox& out);
   void record_response(Time now, std::uint32_t conn, Time sent, Outbox& out);
-  void close_half_open(Time now, const Server& server, const std::vector<std::uint32_t>& half_open,
-                       Outbox& out);
+  void close_half_open(Time now, Server& server, const std::vector<std::uint32_t>& half_open, Outbox& out);
   bool is_response_overdue(Time now, const Server& server) const;
+  bool is_open(std::uint32_t conn) const;
   bool may_receive_releases(const Server& server, std::uint32_t conn) const;
+  bool may_have_former_calls(Time now, const Server& server) const;
+  std::vector<std::uint32_t> retired_connections(const Server& server) const;
   std::optional<Time> oldest_outstanding(const Connection& connection) const;
   std::size_t count_connections(const Server& server, bool notifications_only) const;
   void record_notification(Time now, std::uint32_t conn, Outbox& out);
@@ -171,7 +182,7 @@
   // server with a current connection and without attempts needs no maintenance until one of the two changes.
   std::set<ServerId> servers_to_maintain_;  // with attempts, or in service without a current connection
   std::set<std::uint32_t> partial_reads_;   // connections with an incomplete message
-  std::set<std::uint32_t> non_current_connections_;  // open, but not their server's current connection
+  std::set<std::uint32_t> non_current_connections_;  // open or retired, not their server's current connection
   std::uint64_t maintenance_checks_ = 0;             // servers and connections checked since the last tick
   Attempts attempts_;
   std::unordered_multimap<std::string, AttemptKey> by_correlation_id_;
--- a/tests/golden.h
+++ b/tests/golden.h
@@ -95,6 +95,7 @@
   void record(const net::Listen& e) { text_ += "listen " + e.address + "\n"; }
   void record(const net::Bind& e) { text_ += "bind " + e.address + "\n"; }
   void record(const net::Connect& e) { text_ += "connect " + name_of(e.conn) + " " + e.address + "\n"; }
+  void record(const net::FinishSending& e) { text_ += "finish sending " + name_of(e.conn) + "\n"; }
   void record(const net::Close& e) { text_ += "close " + name_of(e.conn) + "\n"; }
   void record(const net::Exit& e) { text_ += "exit " + std::to_string(e.status) + "\n"; }
 
--- a/tests/lab.h
+++ b/tests/lab.h
@@ -100,6 +100,10 @@
         closed.push_back(e->conn);
         dropped.push_back(e->conn);
       }
+      if (const auto* e = std::get_if<net::FinishSending>(&effect)) {
+        closed.push_back(e->conn);
+        retired.push_back(e->conn);
+      }
       if (const auto* e = std::get_if<net::CloseIfIdle>(&effect)) idle_closes.push_back(e->conn);
       if (const auto* e = std::get_if<net::Listen>(&effect)) listens.push_back(*e);
       if (const auto* e = std::get_if<net::StopListening>(&effect)) stopped_listening.push_back(e->concern);
@@ -193,6 +197,7 @@
   std::vector<ConnId> closed;
   std::size_t closed_without_check = 0;  // of `closed`: callers closed without a check for unread input
   std::vector<ConnId> dropped;           // of `closed`: dropped without writing pending output
+  std::vector<ConnId> retired;           // of `closed`: only the sending direction, input still comes
   std::vector<ConnId> idle_closes;       // CloseIfIdle effects of the current step
   std::vector<net::WriteWithdrawn> withdrawals;  // withdrawals to confirm after the step
   std::set<ConnId> unwritten;                    // output there counts as unwritten: withdrawals succeed
--- a/tests/runtime_test.cpp
+++ b/tests/runtime_test.cpp
@@ -613,9 +613,72 @@
   CHECK_EQ(accepted_count.load(), static_cast<int>(kRuntimes) - 1);
 }
 
+// A connection whose sending direction is closed delivers input until the peer closes.
+void finished_connection_is_read_to_its_end() {
+  const Socket listener = Socket::bound(SOCK_STREAM);
+  const net::ConnId conn{net::Concern::server, 1};
+  net::Runtime runtime({}, net::Logger(net::Level::error));
+  std::string received;
+  const int status = runtime.run([&](Time now, const net::Event& event, net::Effects& effects) {
+    if (std::holds_alternative<net::Started>(event)) {
+      effects.push_back(
+          net::Connect{conn, "127.0.0.1:" + std::to_string(listener.port()), std::chrono::seconds(1)});
+    } else if (std::holds_alternative<net::Connected>(event)) {
+      effects.push_back(net::Send{conn, "first"});
+      effects.push_back(net::FinishSending{conn});
+      effects.push_back(net::Send{conn, "ignored"});
+      effects.push_back(net::ArmTimer{{net::Concern::platform, 0}, now});
+    } else if (std::holds_alternative<net::TimerFired>(event)) {
+      Socket peer = listener.accept();
+      char bytes[16];
+      CHECK_EQ(::recv(peer.descriptor(), bytes, sizeof bytes, MSG_WAITALL), 5);  // "first", then the end
+      peer.send("last");
+    } else if (const auto* input = std::get_if<net::Received>(&event)) {
+      received += input->bytes;
+      effects.push_back(net::Consume{conn, input->bytes.size()});
+    } else if (std::holds_alternative<net::Closed>(event)) {
+      effects.push_back(net::Exit{0});
+    }
+  });
+  CHECK_EQ(status, 0);
+  CHECK_EQ(received, "last");
+}
+
+// The peer writes and closes; a write fails before its bytes are read. They are delivered ahead of Closed.
+void input_before_a_failed_write_is_delivered() {
+  const Socket listener = Socket::bound(SOCK_STREAM);
+  const net::ConnId conn{net::Concern::server, 1};
+  net::Runtime runtime({}, net::Logger(net::Level::error));
+  std::string received;
+  const int status = runtime.run([&](Time now, const net::Event& event, net::Effects& effects) {
+    if (std::holds_alternative<net::Started>(event)) {
+      effects.push_back(
+          net::Connect{conn, "127.0.0.1:" + std::to_string(listener.port()), std::chrono::seconds(1)});
+    } else if (std::holds_alternative<net::Connected>(event)) {
+      effects.push_back(net::Send{conn, "unread by the peer"});
+      effects.push_back(net::ArmTimer{{net::Concern::platform, 0}, now});
+    } else if (std::holds_alternative<net::TimerFired>(event)) {
+      const Socket peer = listener.accept();
+      char byte = 0;
+      CHECK_EQ(::recv(peer.descriptor(), &byte, 1, 0), 1);
+      peer.send("release");  // and closes with unread input, which resets the connection
+      effects.push_back(net::Send{conn, "fails"});
+    } else if (const auto* input = std::get_if<net::Received>(&event)) {
+      received += input->bytes;
+      effects.push_back(net::Consume{conn, input->bytes.size()});
+    } else if (std::holds_alternative<net::Closed>(event)) {
+      effects.push_back(net::Exit{0});
+    }
+  });
+  CHECK_EQ(status, 0);
+  CHECK_EQ(received, "release");
+}
+
 }  // namespace
 
 int main() {
+  finished_connection_is_read_to_its_end();
+  input_before_a_failed_write_is_delivered();
   no_effect_follows_a_failed_required_write();
   several_runtimes_run_in_one_process();
   signals_before_the_loop_runs_are_not_lost();
