Server watch: tell a hung server that its calls are over, and retain them for a minute

A call presumed over was retained for 10 s. A server that resumed later released it, and the release of a call unknown by then was forwarded: its caller read a second one. Seen in the reading of the code, with the test that fails before: the server resumes after 28 s. Such calls are retained for 60 s, or 10 s from the server's release, and a BYE is sent on their connection where it is open, as the trunk does.

--- a/src/upstream/setup_servers.cpp
+++ b/src/upstream/setup_servers.cpp
@@ -40,6 +40,9 @@
 constexpr Duration kAbandonTimeout = 120ms;
 // How long a finished attempt or released call is retained to match late messages.
 constexpr Duration kFinishedRetention = 10s;
+// The same for a call that was presumed over. Its server may release it after a hang, which must not reach
+// its caller once more.
+constexpr Duration kPresumedOverRetention = 60s;
 
 // The response to an INVITE that was cancelled (RFC 3261 §21.4.25).
 constexpr int kRequestTerminated = 487;
@@ -718,7 +721,10 @@
     core::AttemptFinished finished;
     finished.outcome = Outcome::reset;
     finished.cause = kCauseTemporaryFailure;
+    attempt.presumed_over = true;
     finish_attempt(now, attempt, finished, out);
+    // A server that hangs may still hold the call.
+    if (is_open(attempt.conn)) send_bye(now, attempt, kCauseTemporaryFailure, out);
     enter_state(now, attempt, AttemptState::finished);
   }
 }
@@ -746,9 +752,10 @@
     state_deadlines_.clear(key);
   } else if (expires) {
     // 1 ns more, so that the state ends after the span and not at its last instant.
+    const Duration retention = attempt.presumed_over ? kPresumedOverRetention : kFinishedRetention;
     state_deadlines_.set(
-        key, attempt.state_since +
-                 (attempt.state == AttemptState::finished ? kFinishedRetention : kAbandonTimeout) + 1ns);
+        key,
+        attempt.state_since + (attempt.state == AttemptState::finished ? retention : kAbandonTimeout) + 1ns);
   }
 }
 
@@ -1109,6 +1116,8 @@
   const bool is_open =
       it != attempts_.end() && (it->second.state == AttemptState::established || it->second.outstanding());
   if (!is_open) {
+    if (it != attempts_.end() && std::exchange(it->second.presumed_over, false))
+      enter_state(now, it->second, AttemptState::finished);  // only a repetition may still come
     out.notify_broker(
         core::ServerReleased{std::string(message.header("Call-ID")), cause, it != attempts_.end()});
     return;
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -662,6 +662,9 @@
     lab.bring_up();
   }
   CHECK_EQ(lab.line().type, "release");
+  lab.advance(20s);
+  lab.receive(lab.s0, server_bye(kId, 16));  // the server resumes: its release is not forwarded once more
+  CHECK(lab.lines(kCaller).empty());
 }
 
 // Calls are not bound to a connection.
