Platform servers: retain an attempt whose late success is followed by a rejection

What callers saw: a second release after their final answer. A finished attempt now stays for its retention. Test: release_after_a_late_success_is_not_forwarded.

--- a/src/upstream/setup_servers.cpp
+++ b/src/upstream/setup_servers.cpp
@@ -1043,6 +1043,7 @@
   if (attempt.state == AttemptState::established) return;
   // Late success: the response raced the CANCEL, so the call is released at the server.
   counters_.add("servers.crossed");
+  attempt.late_success = true;
   send_bye(now, attempt, kCauseNormalClearing, out);
   if (attempt.state == AttemptState::abandoned) {
     core::AttemptFinished finished;
@@ -1063,17 +1064,19 @@
     if (attempt.index > 0) end_contradicted_call(now, attempt, out);
     return;
   }
-  if (attempt.outstanding()) {
-    core::AttemptFinished finished;
-    finished.report = parse_load_report(message);
-    finished.outcome =
-        attempt.state == AttemptState::abandoned ? Outcome::cancelled : outcome_of(message.status);
-    read_rejection(message, finished);
-    // 486 means that the number is busy at every server; any other error may concern this server only.
-    if (message.status == 486 && finished.reason == FullReason::none)
-      finished.reason = FullReason::number_busy;
-    finish_attempt(now, attempt, finished, out);
+  if (!attempt.outstanding()) {
+    // Retained: a rejection may follow a late success, whose release must not reach the caller.
+    if (!attempt.late_success) attempt.may_be_open_at_server = false;
+    return;
   }
+  core::AttemptFinished finished;
+  finished.report = parse_load_report(message);
+  finished.outcome =
+      attempt.state == AttemptState::abandoned ? Outcome::cancelled : outcome_of(message.status);
+  read_rejection(message, finished);
+  // 486 means that the number is busy at every server; any other error may concern this server only.
+  if (message.status == 486 && finished.reason == FullReason::none) finished.reason = FullReason::number_busy;
+  finish_attempt(now, attempt, finished, out);
   erase(it);
 }
 
--- a/src/upstream/setup_servers.h
+++ b/src/upstream/setup_servers.h
@@ -75,6 +75,7 @@
     // Its INVITE was sent, and neither a final rejection, the server's release nor the server's close of its
     // connection has come: messages of this attempt may still be on their way in either direction.
     bool may_be_open_at_server = false;
+    bool late_success = false;   // its success came after its end, and was followed by a BYE
     bool presumed_over = false;  // ended here without the server's release, which may come after a hang
     bool outstanding() const { return state == AttemptState::sent || state == AttemptState::abandoned; }
     AttemptKey key() const { return {request->call, index}; }
--- a/tests/repeated_attempts_test.cpp
+++ b/tests/repeated_attempts_test.cpp
@@ -125,6 +125,19 @@
   CHECK(lab.lines(kCaller).empty());
 }
 
+// After the late success of a cancelled attempt a spoilt second response comes, and then the server's
+// release: the caller, who has its answer, reads no other one.
+void release_after_a_late_success_is_not_forwarded() {
+  CancelledAttempt lab;
+  lab.advance(300ms);
+  lab.receive(lab.s0, server_answer(lab.first, 200, "a"));
+  lab.receive(lab.s0, server_answer(lab.first, 503));
+  lab.advance(6s);
+  CHECK_EQ(lab.line().type, "release");
+  lab.receive(lab.s0, server_bye(kId, 16));
+  CHECK(lab.lines(kCaller).empty());
+}
+
 // The caller's connection closes and the setup comes again under the same id: another call for the
 // gatekeeper, and the same one for the server.
 void repeated_setup_is_not_sent_beside_its_open_predecessor() {
@@ -148,5 +161,6 @@
   response_to_the_cancel_does_not_end_the_second_attempt();
   call_with_contradicting_responses_is_ended_on_both_sides();
   second_response_to_a_first_attempt_is_ignored();
+  release_after_a_late_success_is_not_forwarded();
   repeated_setup_is_not_sent_beside_its_open_predecessor();
 }
