Platform front end: send a release where a caller is known to read it

What callers saw: a release 1.1 s late. It now goes to the newest connection on which a setup has come; where there is none, to the newest connections of all, eight at most, and one confirmation counts for all copies. Test: release_is_sent_where_a_caller_is_known.

--- a/src/downstream/platform.cpp
+++ b/src/downstream/platform.cpp
@@ -12,6 +12,8 @@
 constexpr double kMaxPool = 1e9;     // largest pool number that `dest` may name
 constexpr double kMaxCircuits = 64;  // largest `width` of a call
 constexpr std::size_t kMaxUnassignedReleases = 4096;
+// Maximum number of connections on which one release is sent.
+constexpr std::size_t kMaxReleaseCopies = 8;
 constexpr Duration kReapInterval = std::chrono::milliseconds(200);
 // Retention of an unconfirmed release; until then the close of its connection sends it again on another one.
 constexpr Duration kReleaseRetention = std::chrono::seconds(8);
@@ -202,8 +204,7 @@
     out.debug(now, [&] {
       return "release_confirmed call=" + message.id + " caller=" + std::to_string(conn.number);
     });
-    if (const auto it = connections_.find(conn); it != connections_.end())
-      it->second.unconfirmed_releases.erase(message.id);
+    for (auto& [other, connection] : connections_) connection.unconfirmed_releases.erase(message.id);
   } else if (message.type != "progress") {
     counters_.add("platform.unknown_type");
   }
@@ -243,6 +244,7 @@
   calls_.emplace(request.call, Call{message.id, conn, identity_of(message)});
   by_id_.emplace(message.id, request.call);
   connections_[conn].waiting.insert(request.call);
+  connections_[conn].has_sent_setup = true;
   out.notify_broker(core::RequestReceived{std::move(request)});
 }
 
@@ -349,25 +351,34 @@
                make_message("release", effect.correlation_id, effect.cause).text(), out);
 }
 
-// Sends the release of a call on the preferred connection, else on any other, else on the next that is
-// accepted.
+// The connections on which a release is sent: the preferred one, else the newest one on which a setup has
+// come. Where there is none either, whether a caller or a misbehaving client holds a connection is unknown,
+// and the newest ones of all are used.
+std::vector<net::ConnId> Platform::release_connections(net::ConnId preferred) const {
+  const auto own = connections_.find(preferred);
+  if (own != connections_.end() && !own->second.peer_closed) return {preferred};
+  std::vector<net::ConnId> unknown;
+  for (auto it = connections_.rbegin(); it != connections_.rend(); ++it) {
+    if (it->second.peer_closed) continue;
+    if (it->second.has_sent_setup) return {it->first};
+    if (unknown.size() < kMaxReleaseCopies) unknown.push_back(it->first);
+  }
+  return unknown;
+}
+
+// Sends the release of a call, or keeps it for the next connection that is accepted.
 void Platform::send_release(Time now, net::ConnId preferred, const std::string& id, std::string line,
                             Outbox& out) {
-  const auto is_usable = [](const auto& c) { return !c.second.peer_closed; };
-  auto it = connections_.find(preferred);
-  if (it == connections_.end() || !is_usable(*it)) it = std::ranges::find_if(connections_, is_usable);
-  out.debug(now, [&] {
-    return "caller_released call=" + id +
-           (it == connections_.end() ? " waits_for_connection=1"
-                                     : " caller=" + std::to_string(it->first.number));
-  });
-  if (it == connections_.end()) {
-    if (unassigned_releases_.size() < kMaxUnassignedReleases)
-      unassigned_releases_.emplace_back(id, std::move(line));
-    return;
+  const std::vector<net::ConnId> targets = release_connections(preferred);
+  for (const net::ConnId conn : targets) {
+    out.debug(now, [&] { return "caller_released call=" + id + " caller=" + std::to_string(conn.number); });
+    out.send(conn, line);
+    connections_.at(conn).unconfirmed_releases.insert_or_assign(id, PendingRelease{line, now});
   }
-  out.send(it->first, line);
-  it->second.unconfirmed_releases.insert_or_assign(id, PendingRelease{std::move(line), now});
+  if (!targets.empty()) return;
+  out.debug(now, [&] { return "caller_released call=" + id + " waits_for_connection=1"; });
+  if (unassigned_releases_.size() < kMaxUnassignedReleases)
+    unassigned_releases_.emplace_back(id, std::move(line));
 }
 
 void Platform::release_by_caller(CallId call, int cause, Outbox& out) {
--- a/src/downstream/platform.h
+++ b/src/downstream/platform.h
@@ -65,6 +65,7 @@
   struct Connection {
     std::set<CallId> waiting;                                    // setups without an answer
     std::map<std::string, PendingRelease> unconfirmed_releases;  // by id, until `released` comes
+    bool has_sent_setup = false;                                 // a valid one: a caller reads it
     bool peer_closed = false;  // the caller has closed its side: its setups are answered already
   };
   // Time without a line until a connection without an open setup is closed. Callers themselves close an idle
@@ -83,6 +84,7 @@
   void answer_waiting(net::ConnId conn, Connection& connection, Outbox& out);
   bool is_busy(net::ConnId conn) const;
   void send_release(Time now, net::ConnId preferred, const std::string& id, std::string line, Outbox& out);
+  std::vector<net::ConnId> release_connections(net::ConnId preferred) const;
   void release_by_caller(CallId call, int cause, Outbox& out);
   void forget(CallId call);
 
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -667,6 +667,26 @@
   CHECK(lab.lines(kCaller).empty());
 }
 
+// The caller's connection is closed; a client that has sent no valid request may hold the next one.
+void release_is_sent_where_a_caller_is_known() {
+  for (const bool caller_known : {false, true}) {
+    ConnectedLab lab;
+    const ConnId client{Concern::platform, 2};
+    const ConnId caller{Concern::platform, 3};
+    lab.receive(kCaller, setup_line_with_key());
+    lab.receive(lab.s0, server_answer(lab.invite(lab.s0), 200, "a"));
+    for (const ConnId conn : {client, caller}) lab.deliver(net::Accepted{conn});
+    if (caller_known) lab.receive(caller, setup_line_with_key("00000000000000bb"));
+    lab.deliver(net::Closed{kCaller, false});
+    lab.receive(lab.s0, server_bye(kId, 16));
+    CHECK_EQ(lab.lines(caller).size(), 1U);
+    CHECK_EQ(lab.lines(client).size(), caller_known ? 0U : 1U);
+    lab.receive(caller, "{\"type\":\"released\",\"id\":\"" + kId + "\",\"fields\":{}}\n");
+    lab.deliver(net::Closed{client, false});
+    CHECK(lab.lines(caller).empty());  // confirmed: not sent again
+  }
+}
+
 // Calls are not bound to a connection.
 void release_is_sent_on_another_connection() {
   ConnectedLab lab;
@@ -976,6 +996,7 @@
   setups_at_an_unreachable_server_are_retried_elsewhere();
   calls_at_an_idle_reachable_server_are_kept();
   calls_at_a_server_that_hangs_for_eight_seconds_are_released();
+  release_is_sent_where_a_caller_is_known();
   release_is_sent_on_another_connection();
   malformed_lines_are_rejected_and_affect_no_other_call();
   open_id_belongs_to_its_caller();
