Soak: hangs over 8 s, servers that do not read, spoilt answers, bad clients, pieces, crowds

Each seed draws the order of work in a server's turn, the connection for releases, reports and turn times, and messages in pieces. New faults, each counted where it takes effect: hung, not_reading, answer_lost, second_response, success_after_cancel, bad_client, setup_cancelled_at_once, crowd. The run settles for the longest hang. A call may end while its server is stopped. Not played yet: several gatekeepers, connections that come up late.

--- a/lab/call_testbed.cpp
+++ b/lab/call_testbed.cpp
@@ -98,10 +98,21 @@
 }
 
 void StreamPeer::write(const std::string& bytes) {
+  if (max_piece_ > 0 || !unwritten_.empty()) {
+    unwritten_ += bytes;
+    return;
+  }
   if (open())
     static_cast<void>(::send(socket_.descriptor(), bytes.data(), bytes.size(), MSG_NOSIGNAL | MSG_DONTWAIT));
 }
 
+void StreamPeer::write_piece() {
+  if (unwritten_.empty() || !open()) return;
+  const std::size_t size = max_piece_ == 0 ? unwritten_.size() : std::min(max_piece_, unwritten_.size());
+  static_cast<void>(::send(socket_.descriptor(), unwritten_.data(), size, MSG_NOSIGNAL | MSG_DONTWAIT));
+  unwritten_.erase(0, size);
+}
+
 void StreamPeer::close() { socket_ = test::Socket(); }
 
 void StreamPeer::reset() {
@@ -138,7 +149,8 @@
 }
 
 void StandInServer::serve() {
-  if (frozen_ || Clock::now() < next_turn_) return;
+  if (frozen_) return record_ends_while_frozen();
+  if (Clock::now() < next_turn_) return;
   next_turn_ = Clock::now() + turn_interval_;
   if (turn_order_ == TurnOrder::write_accept_read) write_due();
   accept();
@@ -147,9 +159,19 @@
   if (turn_order_ == TurnOrder::accept_read_write) write_due();
 }
 
+// A call may end while its server's process is stopped, which then sends the release later.
+void StandInServer::record_ends_while_frozen() {
+  for (const auto& [id, call] : established_) {
+    CallHistory& history = testbed_.record(id);
+    if (call.ends_at && Clock::now() >= *call.ends_at && !history.ended) history.ended = *call.ends_at;
+  }
+}
+
 void StandInServer::read_connections() {
   const TimePoint now = Clock::now();
   for (auto& [number, connection] : connections_) {
+    connection.peer->set_max_piece(max_piece_);
+    connection.peer->write_piece();
     const bool report_due =
         !connection.reported || (periodic_reports_ && now >= connection.next_notification);
     if (connection.peer->open() && report_due) {
@@ -158,6 +180,7 @@
       connection.peer->write(
           "NOTIFY sip:x@net SIP/2.0\r\nCall-ID: n\r\nP-Load: x0:30;x1:40\r\nContent-Length: 0\r\n\r\n");
     }
+    if (deaf_) continue;
     connection.peer->read_available();
     while (true) {
       const sip::ReadResult read = sip::read_stream(connection.peer->input);
@@ -217,6 +240,7 @@
   ServedCall call = it->second;
   unanswered_.erase(it);
   write_response(call.connection, id, status_line);
+  if (answer_observer_) answer_observer_(call.connection, id);
   if (!status_line.starts_with("200")) return;
   if (holding_time_) call.ends_at = Clock::now() + *holding_time_;
   established_.insert_or_assign(id, call);
@@ -238,7 +262,7 @@
   CHECK(it != established_.end());
   const ServedCall call = it->second;
   established_.erase(it);
-  testbed_.record(id).ended = Clock::now();
+  if (CallHistory& history = testbed_.record(id); !history.ended) history.ended = Clock::now();
   const std::string bye = bye_for(id, call.number, cause);
   byes_to_repeat_.emplace_back(id, bye);
   StreamPeer* target = find_release_target(call.connection);
@@ -289,7 +313,9 @@
 }
 
 void StandInServer::cut_calls() {
-  for (const auto& [id, call] : std::exchange(established_, {})) testbed_.record(id).ended = Clock::now();
+  for (const auto& [id, call] : std::exchange(established_, {})) {
+    if (CallHistory& history = testbed_.record(id); !history.ended) history.ended = Clock::now();
+  }
   unanswered_.clear();
   byes_to_repeat_.clear();
 }
@@ -330,8 +356,9 @@
 }
 
 void StandInServer::collect_descriptors(std::vector<int>& descriptors) const {
-  if (frozen_) return;
+  if (frozen_ || Clock::now() < next_turn_) return;
   if (listener_.descriptor() >= 0) descriptors.push_back(listener_.descriptor());
+  if (deaf_) return;  // input that is not read would end each wait at once
   for (const auto& [number, connection] : connections_) descriptors.push_back(connection.peer->descriptor());
 }
 
@@ -480,6 +507,21 @@
   return id.str();
 }
 
+void CallTestbed::cancel_call(const std::string& id) {
+  CallHistory& call = calls_.at(id);
+  if (call.established || call.rejected || callers_.empty()) return;
+  call.crossed_close = true;
+  callers_.back().unanswered.erase(id);
+  callers_.back().peer->write("{\"type\":\"release\",\"id\":\"" + id + "\",\"fields\":{},\"cause\":16}\n");
+}
+
+void CallTestbed::open_bad_client(const std::string& bytes) {
+  test::Socket socket = connected_socket(port_);
+  if (socket.descriptor() < 0) return;
+  static_cast<void>(::send(socket.descriptor(), bytes.data(), bytes.size(), MSG_NOSIGNAL | MSG_DONTWAIT));
+  bad_clients_.push_back(std::move(socket));
+}
+
 // The connect is tried once: a process that ends listens no more.
 bool CallTestbed::open_caller() {
   if (!callers_.empty()) return true;
--- a/lab/call_testbed.h
+++ b/lab/call_testbed.h
@@ -51,12 +51,17 @@
   void read_available();
   // Writes all of it; output that the peer does not take is lost, as it would be at a reset.
   void write(const std::string& bytes);
+  // From now on each write_piece() writes at most this many bytes of what is to be written; 0: no limit.
+  void set_max_piece(std::size_t bytes) { max_piece_ = bytes; }
+  void write_piece();
   void close();  // orderly
   void reset();  // RST
   std::string input{};
 
  private:
   test::Socket socket_;
+  std::size_t max_piece_ = 0;
+  std::string unwritten_{};
 };
 
 class CallTestbed;
@@ -96,6 +101,9 @@
   // Called with each message and the number of its connection; true: the server does nothing more with it.
   using Interceptor = std::function<bool(std::size_t, const sip::Message&)>;
   void set_interceptor(Interceptor interceptor) { interceptor_ = std::move(interceptor); }
+  // Called after each final response, with the number of its connection and the call.
+  using AnswerObserver = std::function<void(std::size_t, const std::string&)>;
+  void set_answer_observer(AnswerObserver observer) { answer_observer_ = std::move(observer); }
   void answer(const std::string& id, const std::string& status_line = "200 OK");
   // Writes a response to an INVITE of the call on that connection, whatever the state of the call.
   void write_response(std::size_t connection, const std::string& id, const std::string& status_line);
@@ -108,6 +116,11 @@
 
   // Neither reads, writes nor accepts; the kernel still accepts connections.
   void freeze() { frozen_ = true; }
+  bool is_frozen() const { return frozen_; }
+  // Accepts and writes, but does not read.
+  void set_deaf(bool deaf) { deaf_ = deaf; }
+  // Messages are written in pieces of at most this many bytes a turn; 0: whole.
+  void set_max_piece(std::size_t bytes) { max_piece_ = bytes; }
   // Ends freeze(); a vanished machine comes back with start() only.
   void resume();
   // The machine is gone: open connections stay open and silent, and new ones never come up.
@@ -142,6 +155,7 @@
   void accept();
   void read_connections();
   void write_due();
+  void record_ends_while_frozen();
   StreamPeer* find_release_target(std::size_t own_connection);
   void handle_message(std::size_t connection, const sip::Message& message);
   void send_bye(const std::string& id, const std::string& bye);
@@ -161,12 +175,15 @@
   std::optional<Clock::duration> answer_delay_{};
   std::optional<Clock::duration> holding_time_{};
   bool frozen_ = false;
+  bool deaf_ = false;
+  std::size_t max_piece_ = 0;
   TurnOrder turn_order_ = TurnOrder::accept_read_write;
   ReleaseTarget release_target_ = ReleaseTarget::oldest;
   Clock::duration turn_interval_{};
   TimePoint next_turn_{};
   bool periodic_reports_ = true;
   Interceptor interceptor_{};
+  AnswerObserver answer_observer_{};
   std::vector<std::string> ends_after_accept_{};
   std::vector<std::string> ends_in_next_turn_{};
 };
@@ -207,6 +224,10 @@
   // Sends a setup on a caller's connection; returns the id of the call. Opens a connection if there is none;
   // returns an empty id if the gatekeeper accepts none.
   std::string place_call(Clock::duration time_left, int destination = 0);
+  // The caller gives up the setup: no answer is owed any more.
+  void cancel_call(const std::string& id);
+  // Opens a connection of a client that sends these bytes and stays.
+  void open_bad_client(const std::string& bytes);
   const CallHistory& history(const std::string& id) const { return calls_.at(id); }
   const std::map<std::string, CallHistory>& calls() const { return calls_; }
   void close_callers();  // the next one is opened when it is needed
@@ -268,6 +289,7 @@
   std::optional<test::Program> gatekeeper_{};
   std::string former_logs_{};
   std::vector<Caller> callers_{};
+  std::vector<test::Socket> bad_clients_{};
   bool running_ = false;
   TimePoint gatekeeper_started_at_{};
   std::map<std::string, CallHistory> calls_{};
--- a/tests/soak_process_test.cpp
+++ b/tests/soak_process_test.cpp
@@ -1,6 +1,7 @@
 // Random faults at servers, the endpoint list, discovery, callers and the gatekeeper itself, drawn from a
 // seed, against the real program. Every call's history is judged by the protocol's limits. Usage:
 // soak_process_test PROGRAM FIRST_SEED SEEDS [PARALLEL]
+#include <array>
 #include <iostream>
 #include <map>
 #include <random>
@@ -18,9 +19,15 @@
 namespace {
 
 constexpr auto kFaultsDuration = 7s;
-// The longest holding time and the longest limit for a release.
-constexpr auto kSettlingDuration = 2s + 8s + 500ms;
+// The longest hang, the longest holding time and the longest limit for a release.
+constexpr auto kLongHang = 9500ms;
+constexpr auto kSettlingDuration = kLongHang + 2s + 8s + 500ms;
 constexpr int kMaxServers = 12;
+constexpr int kCrowd = 25;
+constexpr std::array kTurnOrders = {lab::TurnOrder::accept_read_write, lab::TurnOrder::accept_write_read,
+                                    lab::TurnOrder::write_accept_read};
+constexpr std::array kReleaseTargets = {lab::ReleaseTarget::oldest, lab::ReleaseTarget::newest,
+                                        lab::ReleaseTarget::second_newest};
 
 class Soak {
  public:
@@ -40,6 +47,7 @@
       if (testbed_.gatekeeper_running())
         testbed_.place_call(std::chrono::milliseconds(random_() % 5 == 0 ? 300 : 3000));
       if (random_() % 14 == 0) inject_fault();
+      if (random_() % 20 == 0) inject_client_fault();
     }
     for (StandInServer* server : paused_) server->resume();
     testbed_.set_discovery_reachable(true);
@@ -54,6 +62,61 @@
     server.set_answers_at_once(random_() % 3 != 0);
     server.set_holding_time(std::chrono::milliseconds(100 + random_() % 1900));
     if (random_() % 3 == 0) server.set_answer_delay(std::chrono::milliseconds(random_() % 800));
+    const auto pick = [this](const auto& values) { return values.at(random_() % values.size()); };
+    server.set_turn_order(pick(kTurnOrders));
+    server.set_release_target(pick(kReleaseTargets));
+    server.set_periodic_reports(random_() % 2 == 0);
+    if (random_() % 4 == 0) {
+      count("messages_in_pieces");
+      server.set_max_piece(100 + random_() % 400);
+    } else if (random_() % 3 == 0) {
+      server.set_turn_interval(std::chrono::milliseconds(random_() % 60));
+    }
+    if (random_() % 2 == 0) spoil_responses(server);
+  }
+  // Some INVITEs stay without an answer, some CANCELs race a success, and some responses are followed by a
+  // second one.
+  void spoil_responses(StandInServer& server) {
+    server.set_answer_observer([this, &server](std::size_t connection, const std::string& id) {
+      if (random_() % 8 != 0) return;
+      count("second_response");
+      respond_later(server, connection, id, random_() % 2 == 0 ? "200 OK" : "503 Service Unavailable");
+    });
+    server.set_interceptor([this, &server](std::size_t connection, const sip::Message& message) {
+      if (message.method == "INVITE" && random_() % 12 == 0) {
+        count("answer_lost");
+        return true;
+      }
+      if (message.method != "CANCEL" || random_() % 2 == 0) return false;
+      count("success_after_cancel");
+      respond_later(server, connection, std::string(message.header("Call-ID")), "200 OK");
+      return true;
+    });
+  }
+  void respond_later(StandInServer& server, std::size_t connection, const std::string& id,
+                     const char* status_line) {
+    testbed_.schedule(std::chrono::milliseconds(random_() % 300), [&server, connection, id, status_line] {
+      if (!server.is_frozen()) server.write_response(connection, id, status_line);
+    });
+  }
+  // Clients that give up at once, that send no requests, or that come all at once.
+  void inject_client_fault() {
+    if (!testbed_.gatekeeper_running()) return;
+    switch (random_() % 3) {
+      case 0: {
+        const std::string id = testbed_.place_call(3s);
+        if (id.empty()) return;
+        count("setup_cancelled_at_once");
+        return testbed_.cancel_call(id);
+      }
+      case 1:
+        count("bad_client");
+        return testbed_.open_bad_client(random_() % 2 == 0 ? "{\"type\":\"setup\",\"id\":\"00"
+                                                           : "\x01\xff\n{}\n");
+      default:
+        count("crowd");
+        for (int i = 0; i < kCrowd; ++i) testbed_.place_call(1s);
+    }
   }
   StandInServer& any_server() { return testbed_.server(random_() % testbed_.server_count()); }
   bool is_usable(const StandInServer& server) const { return states_.at(&server) == "ready"; }
@@ -68,7 +131,7 @@
 
   void inject_fault() {
     StandInServer& server = any_server();
-    switch (random_() % 12) {
+    switch (random_() % 14) {
       case 0:
         return replace(server);
       case 1:
@@ -96,6 +159,10 @@
         if (random_() % 3 == 0) return restart_gatekeeper();
         count("reload");
         return testbed_.signal_gatekeeper(SIGHUP);
+      case 11:
+        return hang(server);
+      case 12:
+        return stop_reading(server);
       default:
         count("callers_closed");
         return testbed_.close_callers();
@@ -151,6 +218,20 @@
     paused_.insert(&server);
     testbed_.schedule(std::chrono::milliseconds(random_() % 3000), [&server] { server.resume(); });
   }
+  // A stop of over 8 s.
+  void hang(StandInServer& server) {
+    if (!is_usable(server) || usable_servers() < 2) return;
+    count("hung");
+    states_[&server] = "hung";
+    server.freeze();
+    testbed_.schedule(kLongHang, [&server] { server.resume(); });
+  }
+  void stop_reading(StandInServer& server) {
+    if (!is_usable(server)) return;
+    count("not_reading");
+    server.set_deaf(true);
+    testbed_.schedule(std::chrono::milliseconds(random_() % 3000), [&server] { server.set_deaf(false); });
+  }
   void restart_gatekeeper() {
     if (std::exchange(gatekeeper_restarted_, true)) return;
     count("gatekeeper_restarted");
