--- a/src/downstream/platform.cpp
+++ b/src/downstream/platform.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <ranges>
 
 #include "codec/number.h"
 #include "core/q850.h"
@@ -358,10 +359,10 @@
   const auto own = connections_.find(preferred);
   if (own != connections_.end() && !own->second.peer_closed) return {preferred};
   std::vector<net::ConnId> unknown;
-  for (auto it = connections_.rbegin(); it != connections_.rend(); ++it) {
-    if (it->second.peer_closed) continue;
-    if (it->second.has_sent_setup) return {it->first};
-    if (unknown.size() < kMaxReleaseCopies) unknown.push_back(it->first);
+  for (const auto& [conn, connection] : std::views::reverse(connections_)) {
+    if (connection.peer_closed) continue;
+    if (connection.has_sent_setup) return {conn};
+    if (unknown.size() < kMaxReleaseCopies) unknown.push_back(conn);
   }
   return unknown;
 }
--- a/src/upstream/setup_servers.cpp
+++ b/src/upstream/setup_servers.cpp
@@ -1,13 +1,10 @@
 #include "upstream/setup_servers.h"
 
 #include <algorithm>
-#include <charconv>
-#include <cmath>
 
-#include "codec/number.h"
 #include "core/names.h"
 #include "core/q850.h"
-#include "wire.h"
+#include "upstream/server_messages.h"
 
 namespace graniterun::upstream {
 namespace {
@@ -44,120 +41,11 @@
 // its caller once more.
 constexpr Duration kPresumedOverRetention = 60s;
 
-// The response to an INVITE that was cancelled (RFC 3261 §21.4.25).
-constexpr int kRequestTerminated = 487;
-
 // Slack for the arrival of one notification on a server's different connections.
 constexpr Duration kNotificationSlack = 100ms;
 
-// Upper bound on a reported wait; no caller waits longer, so a larger value is ignored.
-constexpr std::chrono::milliseconds kMaxRetryAfter = 60s;
-
-sip::Message make_request(std::string_view method, const std::string& number,
-                          const std::string& correlation_id, int cseq, std::string_view cseq_method = {}) {
-  sip::Message message;
-  message.method = method;
-  message.uri = "sip:" + number + "@net";
-  message.add("Via", "SIP/2.0/TCP graniterun");
-  message.add("Call-ID", correlation_id);
-  message.add("CSeq", std::to_string(cseq) + " " + std::string(cseq_method.empty() ? method : cseq_method));
-  return message;
-}
-
-Outcome outcome_of(int status) {
-  switch (status) {
-    case 503:
-      return Outcome::full;
-    case 480:
-      return Outcome::not_sent;
-    case 504:
-      return Outcome::reset;
-    case kRequestTerminated:
-      return Outcome::cancelled;
-    default:
-      return Outcome::busy_or_fault;
-  }
-}
-
-FullReason parse_full_reason(std::string_view warning_word) {
-  if (warning_word == "all_trunks_busy") return FullReason::no_circuit;
-  if (warning_word == "via_said_no" || warning_word == "far_cpu_full") return FullReason::returned;
-  if (warning_word == "cpu_full") return FullReason::processor;
-  if (warning_word == "number_busy") return FullReason::number_busy;
-  return FullReason::none;
-}
-
 }  // namespace
 
-int parse_q850_cause(std::string_view reason) {
-  const std::string_view text = sip::parameter(reason, "cause");
-  int cause = kCauseNormalClearing;
-  std::from_chars(text.data(), text.data() + text.size(), cause);
-  return cause;
-}
-
-// Number of continuation bytes after the lead byte of a UTF-8 character (RFC 3629); none for an invalid lead
-// byte.
-std::optional<std::size_t> utf8_continuation_bytes(unsigned char lead) {
-  if (lead < 0x80) return 0;
-  if (lead < 0xc2 || lead > 0xf4) return std::nullopt;  // continuation byte, overlong form or beyond U+10FFFF
-  return lead < 0xe0 ? 1 : lead < 0xf0 ? 2 : 3;
-}
-
-// Whether the first two bytes encode an overlong form, a surrogate or a character beyond U+10FFFF.
-bool is_forbidden_utf8_pair(unsigned char lead, unsigned char second) {
-  return (lead == 0xe0 && second < 0xa0) || (lead == 0xed && second > 0x9f) ||
-         (lead == 0xf0 && second < 0x90) || (lead == 0xf4 && second > 0x8f);
-}
-
-bool is_utf8(std::string_view text) {
-  const auto byte_at = [text](std::size_t at) { return static_cast<unsigned char>(text[at]); };
-  for (std::size_t at = 0; at < text.size();) {
-    const unsigned char lead = byte_at(at);
-    const auto continuation_bytes = utf8_continuation_bytes(lead);
-    if (!continuation_bytes || at + *continuation_bytes >= text.size()) return false;
-    for (std::size_t i = 1; i <= *continuation_bytes; ++i) {
-      if (byte_at(at + i) >> 6 != 2) return false;
-    }
-    if (*continuation_bytes > 0 && is_forbidden_utf8_pair(lead, byte_at(at + 1))) return false;
-    at += *continuation_bytes + 1;
-  }
-  return true;
-}
-
-// Whether a session description can be forwarded unchanged: valid UTF-8, and without the start line of a
-// following message, which a wrong Content-Length makes part of the body.
-bool is_forwardable_description(std::string_view description) {
-  return is_utf8(description) && description.find("SIP/2.0\r\n") == std::string_view::npos;
-}
-
-std::optional<Duration> parse_retry_after(const sip::Message& message) {
-  const auto ms = number_in<std::uint32_t>(message.header("P-Wait"));
-  if (!ms || *ms > kMaxRetryAfter.count()) return {};
-  return std::chrono::milliseconds(*ms);
-}
-
-void read_rejection(const sip::Message& message, core::AttemptFinished& finished) {
-  finished.reason = parse_full_reason(message.header("Warning-Word"));
-  if (finished.outcome == Outcome::full) finished.retry_after = parse_retry_after(message);
-}
-
-LoadReport parse_load_report(const sip::Message& message) {
-  LoadReport report;
-  std::string_view rest = message.header("P-Load");
-  while (!rest.empty()) {
-    const std::string_view entry = rest.substr(0, rest.find(';'));
-    rest.remove_prefix(std::min(rest.size(), entry.size() + 1));
-    const std::size_t colon = entry.find(':');
-    if (colon == std::string_view::npos) continue;
-    const auto value = number_in<double>(sip::trim(entry.substr(colon + 1)));
-    // Skips values that are not numbers or out of range, since a value would be converted to a time.
-    const bool valid = value && std::isfinite(*value) && std::abs(*value) <= 1e7;
-    if (valid) wire::set_report_value(report, sip::trim(entry.substr(0, colon)), *value);
-  }
-  return report;
-}
-
 // ---- endpoint list
 
 void SetupServers::start(Time now, Outbox& out) {
@@ -747,16 +635,17 @@
   }
   if (const auto it = connections_.find(attempt.conn); it != connections_.end() && attempt.outstanding())
     update_set(it->second.outstanding, key);
-  const bool expires = attempt.state == AttemptState::abandoned || attempt.state == AttemptState::finished;
-  if (!insert) {
-    state_deadlines_.clear(key);
-  } else if (expires) {
-    // 1 ns more, so that the state ends after the span and not at its last instant.
-    const Duration retention = attempt.presumed_over ? kPresumedOverRetention : kFinishedRetention;
-    state_deadlines_.set(
-        key,
-        attempt.state_since + (attempt.state == AttemptState::finished ? retention : kAbandonTimeout) + 1ns);
-  }
+  const std::optional<Duration> max_time = max_time_in_state(attempt);
+  if (!insert || !max_time) return state_deadlines_.clear(key);
+  // 1 ns more, so that the state ends after the span and not at its last instant.
+  state_deadlines_.set(key, attempt.state_since + *max_time + 1ns);
+}
+
+// The time after which the attempt's state ends by itself, if it does.
+std::optional<Duration> SetupServers::max_time_in_state(const UpstreamAttempt& attempt) {
+  if (attempt.state == AttemptState::abandoned) return kAbandonTimeout;
+  if (attempt.state != AttemptState::finished) return {};
+  return attempt.presumed_over ? kPresumedOverRetention : kFinishedRetention;
 }
 
 void SetupServers::enter_state(Time now, UpstreamAttempt& attempt, AttemptState state) {
@@ -1072,7 +961,7 @@
   core::AttemptFinished finished;
   finished.report = parse_load_report(message);
   finished.outcome =
-      attempt.state == AttemptState::abandoned ? Outcome::cancelled : outcome_of(message.status);
+      attempt.state == AttemptState::abandoned ? Outcome::cancelled : outcome_of_rejection(message.status);
   read_rejection(message, finished);
   // 486 means that the number is busy at every server; any other error may concern this server only.
   if (message.status == 486 && finished.reason == FullReason::none) finished.reason = FullReason::number_busy;
--- a/src/upstream/setup_servers.h
+++ b/src/upstream/setup_servers.h
@@ -136,6 +136,7 @@
   void finish_attempt(Time now, const UpstreamAttempt& attempt, core::AttemptFinished finished, Outbox& out);
   void enter_state(Time now, UpstreamAttempt& attempt, AttemptState state);
   void update_indexes(const UpstreamAttempt& attempt, bool insert);
+  static std::optional<Duration> max_time_in_state(const UpstreamAttempt& attempt);
   void erase(Attempts::iterator attempt);
   void end_established_calls(Time now, Server& server, std::optional<Time> established_before, Outbox& out);
   void remove_connection(Time now, std::uint32_t conn, std::string_view reason, Outbox& out);
@@ -196,14 +197,4 @@
   bool ready_ = false;
 };
 
-// Parsers for the servers' SIP headers, shared with SipTrunk.
-LoadReport parse_load_report(const sip::Message& message);  // P-Load
-// The Q.850 cause of a Reason header value; 16 (normal clearing) where it has none.
-int parse_q850_cause(std::string_view reason);
-// P-Wait: the wait in whole milliseconds that a server with a full processor reports, at most one minute;
-// none where it is missing, malformed or longer.
-std::optional<Duration> parse_retry_after(const sip::Message& message);
-// Sets the rejection's reason (Warning-Word) and, if the outcome is `full`, its retry-after.
-void read_rejection(const sip::Message& message, core::AttemptFinished& finished);
-
 }  // namespace graniterun::upstream
--- a/src/upstream/sip_trunk.cpp
+++ b/src/upstream/sip_trunk.cpp
@@ -1,7 +1,7 @@
 #include "upstream/sip_trunk.h"
 
 #include "core/q850.h"
-#include "upstream/setup_servers.h"
+#include "upstream/server_messages.h"
 
 namespace graniterun::upstream {
 namespace {
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -5,6 +5,7 @@
 
 #include "ready.h"
 #include "settings.h"
+#include "upstream/server_messages.h"
 
 using namespace graniterun;
 using namespace graniterun::test;
