A reset of a retired connection loses nothing and is followed by no further one

A server resets such a connection after all that it had written, and what had arrived is read first. A message cut short still counts. Test: reset_of_a_retired_connection_loses_nothing, which fails before.

--- a/src/upstream/setup_servers.cpp
+++ b/src/upstream/setup_servers.cpp
@@ -264,8 +264,9 @@
   if (it == connections_.end()) return;
   counters_.add("servers.connections_lost");
   Server* server = find_server(it->second.server);
-  // Bytes that the server had written are lost by a reset, and the rest of a message that was cut short.
-  const bool cut = event.reset || it->second.partial_since;
+  // Bytes that the server had written are lost by a reset, and the rest of a message that was cut short. A
+  // server that closes a retired connection with unread input resets it, after all that it had written.
+  const bool cut = (event.reset && !it->second.retired_at) || it->second.partial_since;
   if (server != nullptr && cut &&
       (may_receive_releases(*server, event.conn.number) || may_have_former_calls(now, *server)))
     server->watch.releases_may_be_lost(now, last_connection_);
--- a/tests/connection_lifecycle_test.cpp
+++ b/tests/connection_lifecycle_test.cpp
@@ -141,6 +141,17 @@
   CHECK_EQ(lab.connects.size(), 1U);
 }
 
+// The server closes a retired connection with unread input, which resets it: nothing that it had written is
+// lost, and no further connection is opened.
+void reset_of_a_retired_connection_loses_nothing() {
+  EstablishedLab lab;
+  lab.hang(1300ms);
+  CHECK_EQ(std::count(lab.retired.begin(), lab.retired.end(), lab.s0), 1);
+  lab.deliver(net::Closed{lab.s0, true});
+  lab.advance(200ms);
+  CHECK(lab.connects.empty());
+}
+
 // A connection carries its first byte late: the server hung, and may have repeated a release on a connection
 // of an earlier process.
 void late_first_byte_is_followed_by_another_connection() {
@@ -164,5 +175,6 @@
   release_arrives_on_any_connection_after_a_hang();
   connections_to_a_silent_server_are_bounded();
   two_connections_follow_a_drop();
+  reset_of_a_retired_connection_loses_nothing();
   close_within_a_message_is_followed_by_another_connection();
 }
