Runtime: read after a failed write only for as long as input is delivered

close_unwritable() read until the kernel reported no unread bytes. It now ends with the first read that delivers nothing.

--- a/src/net/runtime.cpp
+++ b/src/net/runtime.cpp
@@ -900,9 +900,10 @@
     resume_reading(connection);
   }
 
-  void read(ConnId id) {
+  // Returns whether input was delivered.
+  bool read(ConnId id) {
     const auto it = connections_.find(id);
-    if (it == connections_.end()) return;
+    if (it == connections_.end()) return false;
     Connection& connection = *it->second;
     if (connection.closing) {
       char buffer[16384];
@@ -910,10 +911,12 @@
           g_socket_receive(connection.socket.get(), buffer, sizeof buffer, nullptr, nullptr);
       if (received > 0) connection.discarded_bytes += static_cast<std::size_t>(received);
       if (received <= 0 || connection.discarded_bytes > kMaxDiscardedBytes) connections_.erase(it);
-      return;
+      return false;
+    }
+    if (connection.in.free_space() == 0) {
+      close_lost(id, true);  // the reducer consumed nothing of a full buffer: it is stuck
+      return false;
     }
-    if (connection.in.free_space() == 0)
-      return close_lost(id, true);  // the reducer consumed nothing of a full buffer: it is stuck
     connection.in.reserve(std::min(connection.in.size() + 4096, limits_.max_inbound_bytes));
     const std::span<char> target = connection.in.free_span();
     GError* error = nullptr;
@@ -923,19 +926,19 @@
       counters.bytes_in += static_cast<std::uint64_t>(received);
       connection.in.commit(static_cast<std::size_t>(received));
       step(Received{id, connection.in.contents()});
-      return;
+      return true;
     }
     const bool would_block = g_error_matches(error, G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK);
     const bool reset = received < 0;
     g_clear_error(&error);
     if (!would_block) close_lost(id, reset);
+    return false;
   }
 
   // A write failed: the peer has closed. What it sent before, possibly unread yet, is delivered first.
   void close_unwritable(ConnId id) {
-    for (auto it = connections_.find(id); it != connections_.end() && has_unread(*it->second);
-         it = connections_.find(id))
-      read(id);
+    while (read(id)) {
+    }
     close_lost(id, true);
   }
 
