Platform front end: a release that no known caller has read goes to the next connection too

By reading: the caller's connection had just closed, the release was sent to that client only, and the caller's next connection, accepted a moment later, did not get it. It now gets each unconfirmed release that was sent only where no caller is known. Test: release_sent_to_an_unknown_client_is_sent_to_the_next_one.

--- a/src/downstream/platform.cpp
+++ b/src/downstream/platform.cpp
@@ -85,11 +85,24 @@
   counters_.add("platform.connections");
   connections_.try_emplace(event.conn);
   reaper_.accepted(now, event.conn);
-  for (auto& [id, line] : std::exchange(unassigned_releases_, {}))
-    send_release(now, event.conn, id, std::move(line), out);
+  for (auto& [id, line] : unread_releases()) send_release(now, event.conn, id, std::move(line), out);
   make_room(now, out);
 }
 
+// The releases that wait for a connection, and those that were sent only where no caller is known and are
+// unconfirmed.
+std::map<std::string, std::string> Platform::unread_releases() {
+  std::map<std::string, std::string> lines;
+  for (auto& [id, line] : std::exchange(unassigned_releases_, {}))
+    lines.insert_or_assign(id, std::move(line));
+  for (const auto& [conn, connection] : connections_) {
+    if (connection.has_sent_setup) continue;
+    for (const auto& [id, release] : connection.unconfirmed_releases)
+      lines.insert_or_assign(id, release.line);
+  }
+  return lines;
+}
+
 // Closes idle connections above the limit, so that connections kept open without use do not lock out callers.
 // The runtime keeps a connection that has unread input, which may be a request.
 void Platform::make_room(Time now, Outbox& out) {
--- a/src/downstream/platform.h
+++ b/src/downstream/platform.h
@@ -84,6 +84,7 @@
   void answer_waiting(net::ConnId conn, Connection& connection, Outbox& out);
   bool is_busy(net::ConnId conn) const;
   void send_release(Time now, net::ConnId preferred, const std::string& id, std::string line, Outbox& out);
+  std::map<std::string, std::string> unread_releases();
   std::vector<net::ConnId> release_connections(net::ConnId preferred) const;
   void release_by_caller(CallId call, int cause, Outbox& out);
   void forget(CallId call);
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -688,6 +688,20 @@
   }
 }
 
+// The caller comes again after its release was sent to a client that never reads.
+void release_sent_to_an_unknown_client_is_sent_to_the_next_one() {
+  ConnectedLab lab;
+  const ConnId client{Concern::platform, 2};
+  const ConnId caller{Concern::platform, 3};
+  lab.receive(kCaller, setup_line_with_key());
+  lab.receive(lab.s0, server_answer(lab.invite(lab.s0), 200, "a"));
+  lab.deliver(net::Accepted{client});
+  lab.deliver(net::Closed{kCaller, false});
+  lab.receive(lab.s0, server_bye(kId, 16));
+  lab.deliver(net::Accepted{caller});
+  CHECK_EQ(lab.lines(caller).size(), 1U);
+}
+
 // Calls are not bound to a connection.
 void release_is_sent_on_another_connection() {
   ConnectedLab lab;
@@ -998,6 +1012,7 @@
   calls_at_an_idle_reachable_server_are_kept();
   calls_at_a_server_that_hangs_for_eight_seconds_are_released();
   release_is_sent_where_a_caller_is_known();
+  release_sent_to_an_unknown_client_is_sent_to_the_next_one();
   release_is_sent_on_another_connection();
   malformed_lines_are_rejected_and_affect_no_other_call();
   open_id_belongs_to_its_caller();
