Log state changes of setup servers, failed connects and what was heard before calls are ended

A log that ends calls of a server did not say since when each kind of message was missing: a rejection, a notification and a release were one 'byte'. At level info the log now has changes of a server's listed state, the first failed connect of a run, and, with the line that ends calls, the age of the last message of each kind, of the last failed connect and of the calls. At level debug notifications and other messages have a line. No behaviour changes.

--- a/src/upstream/server_messages.cpp
+++ b/src/upstream/server_messages.cpp
@@ -55,6 +55,36 @@
 
 }  // namespace
 
+MessageKind kind_of(const sip::Message& message) {
+  if (message.is_request()) {
+    if (message.method == "NOTIFY") return MessageKind::notification;
+    return message.method == "BYE" ? MessageKind::release : MessageKind::other;
+  }
+  const auto cseq = sip::cseq_of(message);
+  if (!cseq || message.status < 200) return MessageKind::other;
+  const bool success = message.status < 300;
+  if (cseq->method == "INVITE") return success ? MessageKind::success : MessageKind::rejection;
+  return cseq->method == "OPTIONS" && success ? MessageKind::load_report : MessageKind::other;
+}
+
+std::string_view to_string(MessageKind kind) {
+  switch (kind) {
+    case MessageKind::notification:
+      return "notification";
+    case MessageKind::release:
+      return "release";
+    case MessageKind::success:
+      return "success";
+    case MessageKind::load_report:
+      return "load_report";
+    case MessageKind::rejection:
+      return "rejection";
+    case MessageKind::other:
+      return "other";
+  }
+  return "unknown";
+}
+
 sip::Message make_request(std::string_view method, const std::string& number,
                           const std::string& correlation_id, int cseq, std::string_view cseq_method) {
   sip::Message message;
--- a/src/upstream/server_messages.h
+++ b/src/upstream/server_messages.h
@@ -14,6 +14,18 @@
 // The response to an INVITE that was cancelled (RFC 3261 §21.4.25).
 constexpr int kRequestTerminated = 487;
 
+// A message from a setup server, by what it tells about the server.
+enum class MessageKind : std::uint8_t {
+  notification,  // NOTIFY
+  release,       // BYE
+  success,       // 2xx to an INVITE
+  load_report,   // 2xx to an OPTIONS
+  rejection,     // 300 to 699 to an INVITE
+  other
+};
+MessageKind kind_of(const sip::Message& message);
+std::string_view to_string(MessageKind kind);
+
 // A request of a call. The CSeq method is that of the request if `cseq_method` is empty.
 sip::Message make_request(std::string_view method, const std::string& number,
                           const std::string& correlation_id, int cseq, std::string_view cseq_method = {});
--- a/src/upstream/setup_servers.cpp
+++ b/src/upstream/setup_servers.cpp
@@ -41,6 +41,9 @@
 // its caller once more.
 constexpr Duration kPresumedOverRetention = 60s;
 
+// Maximum number of calls that are named in one line of the log.
+constexpr int kMaxLoggedCalls = 8;
+
 // Slack for the arrival of one notification on a server's different connections.
 constexpr Duration kNotificationSlack = 100ms;
 
@@ -87,6 +90,10 @@
   server.id = id;
   const bool moved = !inserted && server.endpoint.address != endpoint.address && !endpoint.address.empty();
   const bool restarted = !inserted && endpoint.started && server.endpoint.started != endpoint.started;
+  if (!inserted && (restarted || server.endpoint.state != endpoint.state))
+    out.log(net::Level::info, "endpoint_changed server=" + endpoint.uid +
+                                  " state=" + std::string(to_string(endpoint.state)) +
+                                  " restarted=" + std::to_string(static_cast<int>(restarted)));
   const std::string address = endpoint.address.empty() ? server.endpoint.address : endpoint.address;
   server.endpoint = endpoint;
   server.endpoint.address = address;
@@ -230,6 +237,10 @@
   if (event.local_shortage) {
     server->watch.connect_not_possible();
   } else {
+    if (!server->watch.was_unreachable())
+      out.log(net::Level::info, "server_unreachable server=" + server->endpoint.uid +
+                                    " refused=" + std::to_string(static_cast<int>(event.refused)));
+    server->last_connect_failed_at = now;
     server->watch.connect_failed(now, event.refused);
   }
   update_readiness(now);
@@ -439,12 +450,32 @@
   if (const auto due = server.watch.due_connect(now, situation)) connect(now, server, *due, out);
   if (const auto reason = server.watch.calls_over(now, situation)) {
     counters_.add(*reason == LostServerReason::died ? "servers.died" : "servers.vanished");
-    out.log(net::Level::warning, "setup server " + server.endpoint.uid + " " +
-                                     std::string(to_string(*reason)) + ": ending its established calls");
+    log_calls_over(now, server, *reason, out);
     end_established_calls(now, server, {}, out);
   }
 }
 
+// The line shows for how long each kind of message has not come from the server.
+void SetupServers::log_calls_over(Time now, const Server& server, LostServerReason reason,
+                                  Outbox& out) const {
+  const auto age = [now](Time at) {
+    return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(now - at).count());
+  };
+  std::string line = "setup server " + server.endpoint.uid + " " + std::string(to_string(reason)) +
+                     ": ending its established calls calls=" + std::to_string(server.established_calls) +
+                     " state=" + std::string(to_string(server.endpoint.state));
+  for (const auto& [kind, at] : server.last_received_at)
+    line += " " + std::string(to_string(kind)) + "_ms=" + age(at);
+  if (server.last_connect_failed_at) line += " connect_failed_ms=" + age(*server.last_connect_failed_at);
+  int logged_calls = 0;
+  for (const AttemptKey& key : server.attempts) {
+    const UpstreamAttempt& attempt = attempts_.at(key);
+    if (attempt.state != AttemptState::established || ++logged_calls > kMaxLoggedCalls) continue;
+    line += " call=" + attempt.request->correlation_id + "/" + age(attempt.state_since);
+  }
+  out.log(net::Level::warning, std::move(line));
+}
+
 // Whether a setup on the server's current connection is outstanding for longer than the expected response
 // time, with nothing else received on that connection for as long.
 bool SetupServers::is_response_overdue(Time now, const Server& server) const {
@@ -808,6 +839,7 @@
       // When it was kept, setups sent on it for seconds got no response.
       return handle_malformed(now, event.conn.number, error, out);
     }
+    record_message(now, event.conn.number, read.message, out);
     if (read.message.is_request()) {
       handle_request(now, event.conn.number, read.message, out);
     } else {
@@ -837,6 +869,17 @@
   if (server->watch.repeat_needed()) servers_to_maintain_.insert(server->id);
 }
 
+void SetupServers::record_message(Time now, std::uint32_t conn, const sip::Message& message, Outbox& out) {
+  const MessageKind kind = kind_of(message);
+  Server* server = find_server(connections_.at(conn).server);
+  if (server != nullptr) server->last_received_at[kind] = now;
+  if (kind != MessageKind::notification && kind != MessageKind::other) return;
+  out.debug(now, [&] {
+    return "message_received kind=" + std::string(to_string(kind)) +
+           " server=" + name_of(connections_.at(conn).server) + " conn=" + std::to_string(conn);
+  });
+}
+
 // Whether a response establishes a call; its body is forwarded to the caller.
 bool SetupServers::is_invite_success(const sip::Message& message) {
   const auto cseq = sip::cseq_of(message);
--- a/src/upstream/setup_servers.h
+++ b/src/upstream/setup_servers.h
@@ -18,6 +18,7 @@
 #include "net/outbox.h"
 #include "upstream/connection_lifecycle.h"
 #include "upstream/directory.h"
+#include "upstream/server_messages.h"
 #include "upstream/server_watch.h"
 
 namespace graniterun::upstream {
@@ -110,7 +111,9 @@
     int established_calls = 0;
     std::set<std::pair<Time, AttemptKey>> outstanding{};  // attempts in state `sent`, by send time
     std::set<std::uint32_t> connections{};                // open, retired or being opened
-    std::uint32_t newest_proven = 0;  // the last opened connection that has carried a byte
+    std::uint32_t newest_proven = 0;                 // the last opened connection that has carried a byte
+    std::map<MessageKind, Time> last_received_at{};  // of each kind of message, for the log
+    std::optional<Time> last_connect_failed_at{};    // for the log
   };
 
   Server* find_server(ServerId id);
@@ -148,6 +151,7 @@
                       Outbox& out) const;
   void handle_malformed(Time now, std::uint32_t conn, const std::string& error, Outbox& out);
   void drop_connection(Time now, std::uint32_t conn, std::string_view reason, Outbox& out);
+  void record_message(Time now, std::uint32_t conn, const sip::Message& message, Outbox& out);
   void record_input(Time now, std::uint32_t conn, Outbox& out);
   void record_response(Time now, std::uint32_t conn, Time sent, Outbox& out);
   void close_half_open(Time now, Server& server, const std::vector<std::uint32_t>& half_open, Outbox& out);
@@ -161,6 +165,7 @@
   void record_notification(Time now, std::uint32_t conn, Outbox& out);
   static std::string describe_malformed(const sip::ReadResult& read);
   static bool is_invite_success(const sip::Message& message);
+  void log_calls_over(Time now, const Server& server, LostServerReason reason, Outbox& out) const;
   static std::string_view name_of_state(AttemptState state);
   void log_sent(Time now, std::string_view event, const UpstreamAttempt& attempt, Outbox& out);
   Attempts::iterator find_attempt(std::uint32_t conn, const sip::Message& message);
--- a/src/upstream/sip_trunk.cpp
+++ b/src/upstream/sip_trunk.cpp
@@ -199,6 +199,7 @@
   for (const std::string& call_id : decision.probes) {
     UpstreamAttempt& attempt = attempts_.at(call_id);
     counters_.add("trunk.dialogs_probed");
+    log_sent(now, "dialog_probed", attempt, out);
     transactions_.send_request(now, attempt.flow,
                                make_dialog_request(attempt, "OPTIONS", ++attempt.local_cseq), out);
   }
