--- a/lab/call_testbed.cpp
+++ b/lab/call_testbed.cpp
@@ -173,7 +173,7 @@
     connection.peer->set_max_piece(max_piece_);
     connection.peer->write_piece();
     const bool report_due =
-        !connection.reported || (periodic_reports_ && now >= connection.next_notification);
+        reports_ && (!connection.reported || (periodic_reports_ && now >= connection.next_notification));
     if (connection.peer->open() && report_due) {
       connection.reported = true;
       connection.next_notification = now + kNotificationInterval;
@@ -226,7 +226,12 @@
     unanswered_.insert_or_assign(id, call);
     history.server = uid_;
     history.invite_received = Clock::now();
-    if (answers_at_once_) answer(id);
+    if (!rejection_.empty()) {
+      ++rejections_;
+      answer(id, rejection_);
+    } else if (answers_at_once_) {
+      answer(id);
+    }
   } else if (message.method == "CANCEL") {
     if (unanswered_.contains(id)) answer(id, "487 Request Terminated");
   } else if (message.method == "BYE") {
@@ -335,6 +340,14 @@
 }
 
 void StandInServer::stop_listening() { listener_ = test::Socket(); }
+void StandInServer::resume_listening() { listen(); }
+
+void StandInServer::lose_calls_behind_open_connections() {
+  cut_calls();
+  reports_ = false;
+  rejection_ = "503 Service Unavailable";
+  stop_listening();
+}
 
 bool StandInServer::close_connections() {
   if (frozen_) return false;
@@ -350,11 +363,14 @@
 
 bool StandInServer::write_noise() {
   if (frozen_) return false;
-  for (auto& [number, connection] : connections_)
-    connection.peer->write("no message of this protocol\r\n\r\n");
+  write_bytes("no message of this protocol\r\n\r\n");
   return true;
 }
 
+void StandInServer::write_bytes(const std::string& bytes) {
+  for (auto& [number, connection] : connections_) connection.peer->write(bytes);
+}
+
 void StandInServer::collect_descriptors(std::vector<int>& descriptors) const {
   if (frozen_ || Clock::now() < next_turn_) return;
   if (listener_.descriptor() >= 0) descriptors.push_back(listener_.descriptor());
--- a/lab/call_testbed.h
+++ b/lab/call_testbed.h
@@ -98,6 +98,9 @@
   void set_turn_interval(Clock::duration interval) { turn_interval_ = interval; }
   // Without it, the server sends a report only as the first message of each connection.
   void set_periodic_reports(bool periodic) { periodic_reports_ = periodic; }
+  // Every INVITE gets this response instead; empty: it is answered.
+  void set_rejection(std::string status_line) { rejection_ = std::move(status_line); }
+  std::size_t rejections() const { return rejections_; }
   // Called with each message and the number of its connection; true: the server does nothing more with it.
   using Interceptor = std::function<bool(std::size_t, const sip::Message&)>;
   void set_interceptor(Interceptor interceptor) { interceptor_ = std::move(interceptor); }
@@ -110,6 +113,9 @@
   void end_call(const std::string& id, int cause = 16);
   // The call is over at the server, which sends no release.
   void cut_call(const std::string& id);
+  // The calls are over without releases. What is left of the process keeps its connections, and only rejects
+  // setups there: it sends no reports, and connects are refused.
+  void lose_calls_behind_open_connections();
   // Ends the call in the turn in which it accepts the next connection, or in the next turn.
   void end_call_after_accept(const std::string& id) { ends_after_accept_.push_back(id); }
   void end_call_in_next_turn(const std::string& id) { ends_in_next_turn_.push_back(id); }
@@ -131,10 +137,12 @@
   void start();
   // The process goes on without a listener: another server may take its address.
   void stop_listening();
+  void resume_listening();
   // On each open connection; false: nothing happens, the process is stopped or the machine has vanished.
   bool close_connections();
   bool reset_connections();
   bool write_noise();  // bytes that are no message
+  void write_bytes(const std::string& bytes);
 
   void serve();  // reads, accepts and sends what is due
   void collect_descriptors(std::vector<int>& descriptors) const;
@@ -182,6 +190,9 @@
   Clock::duration turn_interval_{};
   TimePoint next_turn_{};
   bool periodic_reports_ = true;
+  bool reports_ = true;
+  std::string rejection_{};
+  std::size_t rejections_ = 0;
   Interceptor interceptor_{};
   AnswerObserver answer_observer_{};
   std::vector<std::string> ends_after_accept_{};
