--- a/src/upstream/connection_lifecycle.cpp
+++ b/src/upstream/connection_lifecycle.cpp
@@ -14,8 +14,8 @@
 
 ConnectionAction decide_retired(const ConnectionSituation& situation) {
   const bool given_time = *situation.retired_for > kRetiredTimeout;
-  if (given_time && (!situation.calls_possible || situation.server_alive_since_retirement))
-    return ConnectionAction::drop;
+  const bool alive = situation.server_alive_since_retirement && !situation.process_in_doubt;
+  if (given_time && (!situation.calls_possible || alive)) return ConnectionAction::drop;
   const bool silent = situation.silence >= kReplaceTimeout;
   return situation.releases_expected && silent && situation.replaceable ? ConnectionAction::replace
                                                                         : ConnectionAction::keep;
--- a/src/upstream/connection_lifecycle.h
+++ b/src/upstream/connection_lifecycle.h
@@ -1,8 +1,9 @@
 // Decides when a connection to a setup server is retired, replaced or dropped. A retired connection has its
 // sending direction closed and is read until the server closes it, so that no release that the server has
 // written is lost. Input: what is known of the connection and its server. It does no I/O and reads no clock.
-// Invariant: while calls are established at the server, a connection is dropped only if the server is alive
-// and has left it open for kRetiredTimeout. docs/design/server-watch.md.
+// Invariant: while calls are established at the server, a connection is dropped only if the server is alive,
+// its process is not in doubt, and it has left the connection open for kRetiredTimeout.
+// docs/design/server-watch.md.
 #pragma once
 
 #include <optional>
@@ -25,6 +26,7 @@
   bool received_input = false;      // the server has accepted it
   Duration silence{};               // time without a byte
   std::optional<Duration> retired_for{};
+  bool process_in_doubt = false;  // only connections of before show whether it is the same process
   bool server_alive_since_retirement = false;  // input came on a connection that was opened after it
 };
 
--- a/src/upstream/server_messages.cpp
+++ b/src/upstream/server_messages.cpp
@@ -67,6 +67,10 @@
   return cseq->method == "OPTIONS" && success ? MessageKind::load_report : MessageKind::other;
 }
 
+bool shows_calls(MessageKind kind) {
+  return kind == MessageKind::notification || kind == MessageKind::release;
+}
+
 std::string_view to_string(MessageKind kind) {
   switch (kind) {
     case MessageKind::notification:
--- a/src/upstream/server_messages.h
+++ b/src/upstream/server_messages.h
@@ -25,6 +25,9 @@
 };
 MessageKind kind_of(const sip::Message& message);
 std::string_view to_string(MessageKind kind);
+// Whether only a process that serves its calls sends it. Any response may come from what is left of one,
+// which finishes the setups that it has.
+bool shows_calls(MessageKind kind);
 
 // A request of a call. The CSeq method is that of the request if `cseq_method` is empty.
 sip::Message make_request(std::string_view method, const std::string& number,
--- a/src/upstream/server_watch.cpp
+++ b/src/upstream/server_watch.cpp
@@ -14,22 +14,17 @@
 constexpr Duration kReplaceInterval = 600ms;
 // Time in which a live server notices that a connection was closed.
 constexpr Duration kCloseNoticeTime = 250ms;
-// Time without a byte from a server with calls until a new connection to it is tried. A machine that vanishes
-// leaves its old connection half-open.
+// Time without a byte from a server with attempts until a new connection to it is tried. A machine that
+// vanishes leaves its old connection half-open.
 constexpr Duration kIdleSuspicionTimeout = 1200ms;
 // Delay before the next connection is tried while a response is overdue on the newest one as well.
 constexpr Duration kSuspicionRetryDelay = 400ms;
-// Time without a byte from an unreachable server after which its established calls are over. The operators'
-// rule allows 8 s from the end of a call; a server that hangs for less than that is to keep its calls.
-constexpr Duration kVanishedTimeout = 7200ms;
-// Time without a byte after which the calls of a server are over that can be reached on its old connection
-// only.
-constexpr Duration kReassignedTimeout = 5s;
+// Time without evidence that a server's calls stand until it is asked for: by a new connection, on which the
+// first message of a server is a notification. Several tries fit into kMaxEvidenceAge.
+constexpr Duration kEvidenceRequestAge = 2400ms;
 // Time after which the established calls of a server that refuses connections are ended. The port of a dead
 // process refuses at once; a restart within this time is tolerated.
 constexpr Duration kProcessDeathTimeout = 3s;
-// Time without a byte after which established calls are over in any case.
-constexpr Duration kMaxSilence = 7700ms;
 
 }  // namespace
 
@@ -37,12 +32,8 @@
   switch (reason) {
     case LostServerReason::died:
       return "died";
-    case LostServerReason::vanished:
-      return "vanished";
-    case LostServerReason::silent:
-      return "is silent";
-    case LostServerReason::address_reassigned:
-      return "lost its address to another server";
+    case LostServerReason::unconfirmed:
+      return "shows no sign of its calls";
   }
   return "is lost";
 }
@@ -53,7 +44,8 @@
   repeat_pending_ = std::exchange(repeat_needed_, false);
 }
 
-void ServerWatch::connected(Time now) {
+void ServerWatch::connected(Time now, std::uint32_t connection) {
+  evidence_.connection_opened(connection);
   connect_attempted_ = true;
   last_connect_refused_ = false;
   repeat_pending_ = false;
@@ -65,7 +57,7 @@
 void ServerWatch::connection_proven(Time now, std::uint32_t number, Duration wait) {
   const bool after_loss = last_before_loss_ && number > *last_before_loss_;
   if (after_loss) last_before_loss_.reset();
-  const bool after_hang = wait > kCloseNoticeTime && wait <= kMaxSilence;
+  const bool after_hang = wait > kCloseNoticeTime && wait <= kMaxEvidenceAge;
   if (!after_loss && !after_hang) return;
   repeat_needed_ = true;
   next_repeat_ = now + kCloseNoticeTime;
@@ -86,8 +78,9 @@
   if (now >= last_repeat_at_ + kReplaceInterval) repeat_needed_ = true;
 }
 
-void ServerWatch::connect_failed(Time now, bool refused) {
+void ServerWatch::connect_failed(Time now, bool refused, std::uint32_t last_started) {
   connect_not_possible();
+  evidence_.process_in_doubt(now, last_started);
   last_connect_refused_ = refused;
   if (!unreachable_since_) unreachable_since_ = now;
 }
@@ -97,12 +90,18 @@
   if (std::exchange(repeat_pending_, false)) repeat_needed_ = true;
 }
 
-void ServerWatch::input_received(Time now) {
+void ServerWatch::input_received(Time now, std::uint32_t connection) {
   last_reached_at_ = now;
   last_input_at_ = now;
+  evidence_.connection_alive(connection);
   unreachable_since_.reset();
 }
 
+void ServerWatch::call_established(Time now, std::uint32_t connection, bool first) {
+  if (first) evidence_.no_calls_before(now);
+  evidence_.call_established(now, connection);
+}
+
 void ServerWatch::last_connection_lost(Time now) {
   if (!lost_at_) lost_at_ = now;
 }
@@ -135,37 +134,40 @@
   const bool repeat_due = now >= std::max(last_repeat_at_ + kRepeatDelay, next_repeat_);
   if (repeat_needed_ && repeat_due && !situation.notification_connections_full)
     return DueConnect{ConnectPurpose::notifications};
+  if (now < next_connect_) return {};
   const bool idle = silence(now) > kIdleSuspicionTimeout;
   const bool unresponsive = situation.has_attempts && (idle || situation.response_overdue);
-  if (!unresponsive || now < next_connect_) return {};
-  // A live server that has nothing to send is not connected to in every tick. A server with an overdue
-  // response may become unresponsive on the new connection too; with the longer delay for it, callers got
-  // their releases later than the 1 s that is allowed.
-  const Duration delay = situation.response_overdue ? kSuspicionRetryDelay : kIdleSuspicionTimeout;
-  if (!situation.setup_connections_full) return DueConnect{ConnectPurpose::setups, delay};
-  // With all connections for setups open, a further one shows whether the server still lives.
-  const bool sign_of_life_needed = idle && situation.has_established_calls;
-  if (!sign_of_life_needed || situation.notification_connections_full) return {};
+  if (unresponsive && !situation.setup_connections_full) {
+    // A live server that has nothing to send is not connected to in every tick. A server with an overdue
+    // response may become unresponsive on the new connection too; with the longer delay for it, callers got
+    // their releases later than the 1 s that is allowed.
+    return DueConnect{ConnectPurpose::setups,
+                      situation.response_overdue ? kSuspicionRetryDelay : kIdleSuspicionTimeout};
+  }
+  // With all connections for setups open, a further one shows whether the server still lives; and a
+  // connection for setups may answer while the process behind it has no calls any more.
+  const bool answers_without_evidence =
+      evidence_.age(now) > kEvidenceRequestAge && now - last_input_at_ <= kIdleSuspicionTimeout;
+  const bool evidence_due = situation.has_established_calls && (idle || answers_without_evidence);
+  if (!evidence_due || situation.notification_connections_full) return {};
   return DueConnect{ConnectPurpose::notifications, kIdleSuspicionTimeout};
 }
 
-std::optional<LostServerReason> ServerWatch::calls_over(Time now, const ServerSituation& situation) const {
-  if (!situation.has_established_calls) return {};
-  if (situation.address_reassigned) {
-    const bool lost = !situation.has_open_connection || now - last_input_at_ > kReassignedTimeout;
-    return lost ? std::optional(LostServerReason::address_reassigned) : std::nullopt;
+std::optional<LostCalls> ServerWatch::calls_over(Time now, const ServerSituation& situation) {
+  if (!situation.has_established_calls) {
+    evidence_.no_calls_before(now);
+    return {};
   }
+  if (situation.address_reassigned) return {};
   if (last_connect_refused_ && !situation.has_open_connection) {
     const bool removed = situation.listed == ServerState::terminated;
-    if (removed || (lost_at_ && now - *lost_at_ > kProcessDeathTimeout)) return LostServerReason::died;
+    if (removed || (lost_at_ && now - *lost_at_ > kProcessDeathTimeout))
+      return LostCalls{LostServerReason::died, now};
   }
-  const Duration input_silence = now - last_input_at_;
-  if (unreachable_since_ && input_silence > kVanishedTimeout &&
-      now - *unreachable_since_ > 2 * kIdleSuspicionTimeout)
-    return LostServerReason::vanished;
-  // The kernel of a hung process accepts connections: only bytes show that it lives.
-  if (input_silence > kMaxSilence) return LostServerReason::silent;
-  return {};
+  const auto stale = evidence_.stale_calls(now);
+  if (!stale) return {};
+  evidence_.no_calls_before(stale->established_before);
+  return LostCalls{LostServerReason::unconfirmed, stale->established_before};
 }
 
 }  // namespace graniterun::upstream
--- a/src/upstream/server_watch.h
+++ b/src/upstream/server_watch.h
@@ -1,15 +1,17 @@
 // Decides for one setup server when a connection to it is needed and when its established calls are over,
-// because their releases can no longer arrive. It is told of connects, their results, input and lost
-// connections, and asked in each tick. It does no I/O and reads no clock. Invariants, for a server with
+// because their releases can no longer arrive. It is told of connects, their results, messages, input and
+// lost connections, and asked in each tick. It does no I/O and reads no clock. Invariants, for a server with
 // established calls and whatever its state in the endpoint list: a connection is open, being opened or due
-// within kReconnectDelay, unless its address belongs to another server; and calls_over() holds at the latest
-// kMaxSilence after the server's last byte. docs/design/server-watch.md.
+// within kReconnectDelay, unless its address belongs to another server; evidence that the calls stand is
+// asked for after kEvidenceRequestAge without any; and calls_over() holds for calls without evidence for
+// kMaxEvidenceAge. docs/design/server-watch.md.
 #pragma once
 
 #include <optional>
 #include <string_view>
 
 #include "graniterun/controller.h"
+#include "upstream/call_evidence.h"
 
 namespace graniterun::upstream {
 
@@ -44,17 +46,30 @@
 };
 
 // Why established calls are over without a release of the server.
-enum class LostServerReason : std::uint8_t { died, vanished, silent, address_reassigned };
+enum class LostServerReason : std::uint8_t { died, unconfirmed };
 std::string_view to_string(LostServerReason reason);
 
+struct LostCalls {
+  LostServerReason reason{};
+  Time established_before{};
+};
+
 class ServerWatch {
  public:
   void connect_started(Time now, const DueConnect& connect);
-  void connected(Time now);
-  void connect_failed(Time now, bool refused);
+  void connected(Time now, std::uint32_t connection);
+  void connect_failed(Time now, bool refused, std::uint32_t last_started);
   // The connect failed for want of a descriptor or port here, which says nothing about the server.
   void connect_not_possible();
-  void input_received(Time now);
+  void input_received(Time now, std::uint32_t connection);
+  // A message has come on that connection that only a process with calls sends.
+  void calls_served(Time now, std::uint32_t connection) { evidence_.calls_served(now, connection); }
+  // A call was established on that connection; `first`: no other one is.
+  void call_established(Time now, std::uint32_t connection, bool first);
+  // The server has released a call that was established at that time.
+  void call_known(Time established_at) { evidence_.call_known(established_at); }
+  // The server has closed a connection in answer to the close of its other direction.
+  void close_answered(std::uint32_t connection) { evidence_.connection_alive(connection); }
   // A connection has carried its first byte, that time after it came up. Connections are numbered in the
   // order in which they are started. A late byte shows that the server hung: in its first turn it may have
   // written releases to connections that were closed meanwhile, also by an earlier process, and have repeated
@@ -76,8 +91,10 @@
   std::optional<DueConnect> due_connect(Time now, const ServerSituation& situation) const;
   // Whether open connections are to be kept.
   static bool keeps_connections(const ServerSituation& situation);
-  // Whether the established calls are over.
-  std::optional<LostServerReason> calls_over(Time now, const ServerSituation& situation) const;
+  // The established calls that are over, unless the server's address belongs to another server.
+  std::optional<LostCalls> calls_over(Time now, const ServerSituation& situation);
+  // Whether it is unknown if connections of before lead to the process that serves the new ones.
+  bool process_in_doubt() const { return evidence_.in_doubt(); }
 
   // Whether a connect has succeeded or failed.
   bool connect_attempted() const { return connect_attempted_; }
@@ -89,8 +106,9 @@
   bool needs_connection(const ServerSituation& situation) const;
 
   Time last_reached_at_{};  // last byte, or the last successful connect
-  Time last_input_at_{};    // last byte: the server's process lives
-  Time last_repeat_at_{};   // last connect for notifications
+  Time last_input_at_{};    // last byte
+  CallEvidence evidence_{};
+  Time last_repeat_at_{};  // last connect for notifications
   Time next_connect_{};
   std::optional<Time> unreachable_since_{};  // first of an unbroken run of failed connects
   std::optional<Time> lost_at_{};            // when the last open connection broke; none has come up since
--- a/src/upstream/setup_servers.cpp
+++ b/src/upstream/setup_servers.cpp
@@ -98,7 +98,7 @@
   server.endpoint = endpoint;
   server.endpoint.address = address;
   if (endpoint.state != ServerState::terminated) server.address_reassigned = false;
-  if (restarted) end_established_calls(now, server, endpoint.started, out);
+  if (restarted) end_established_calls(now, server, *endpoint.started, out);
   if (moved) clear_current_connection(server);
   if (inserted || moved) by_address[address].push_back(id);
   if (endpoint.state != ServerState::in_service) return;
@@ -139,7 +139,7 @@
                                    other.endpoint.address == server.endpoint.address;
                           });
   if (!reassigned || std::exchange(server.address_reassigned, true)) return;
-  end_calls_without_connection(now, server, out);
+  end_calls_at_reassigned_address(now, server, out);
 }
 
 // A restarted process with a saved endpoint list becomes ready even if no server is reachable: it then
@@ -203,7 +203,7 @@
   });
   if (server->watch.was_unreachable())
     out.log(net::Level::info, "setup server " + server->endpoint.uid + " is reachable again");
-  server->watch.connected(now);
+  server->watch.connected(now, event.conn.number);
   server->connecting.reset();
   update_readiness(now);
   if (!it->second.notifications_only || !server->current) {
@@ -241,7 +241,7 @@
       out.log(net::Level::info, "server_unreachable server=" + server->endpoint.uid +
                                     " refused=" + std::to_string(static_cast<int>(event.refused)));
     server->last_connect_failed_at = now;
-    server->watch.connect_failed(now, event.refused);
+    server->watch.connect_failed(now, event.refused, last_connection_);
   }
   update_readiness(now);
   server->connecting.reset();
@@ -278,6 +278,8 @@
   // Bytes that the server had written are lost by a reset, and the rest of a message that was cut short. A
   // server that closes a retired connection with unread input resets it, after all that it had written.
   const bool cut = (event.reset && !it->second.retired_at) || it->second.partial_since;
+  if (server != nullptr && it->second.retired_at && !event.reset)
+    server->watch.close_answered(event.conn.number);
   if (server != nullptr && cut &&
       (may_receive_releases(*server, event.conn.number) || may_have_former_calls(now, *server)))
     server->watch.releases_may_be_lost(now, last_connection_);
@@ -321,7 +323,7 @@
   Connection connection = std::move(it->second);
   connections_.erase(it);
   end_outstanding(now, connection, out);
-  if (server != nullptr && server->address_reassigned) end_calls_without_connection(now, *server, out);
+  if (server != nullptr && server->address_reassigned) end_calls_at_reassigned_address(now, *server, out);
 }
 
 // Ends the attempts without a final response. They are retained as finished: one of them may have been
@@ -448,21 +450,29 @@
   if (server.current && !ServerWatch::keeps_connections(situation)) clear_current_connection(server);
   if (!situation.has_live_attempts && !situation.may_have_former_calls) server.watch.no_releases_expected();
   if (const auto due = server.watch.due_connect(now, situation)) connect(now, server, *due, out);
-  if (const auto reason = server.watch.calls_over(now, situation)) {
-    counters_.add(*reason == LostServerReason::died ? "servers.died" : "servers.vanished");
-    log_calls_over(now, server, *reason, out);
-    end_established_calls(now, server, {}, out);
-  }
+  if (server.address_reassigned) end_calls_at_reassigned_address(now, server, out);
+  if (const auto lost = server.watch.calls_over(now, situation)) end_lost_calls(now, server, *lost, out);
+}
+
+void SetupServers::end_lost_calls(Time now, Server& server, const LostCalls& lost, Outbox& out) {
+  const bool any = std::ranges::any_of(server.attempts, [&](const AttemptKey& key) {
+    const UpstreamAttempt& attempt = attempts_.at(key);
+    return attempt.state == AttemptState::established && attempt.state_since < lost.established_before;
+  });
+  if (!any) return;
+  counters_.add(lost.reason == LostServerReason::died ? "servers.died" : "servers.vanished");
+  log_calls_over(now, server, lost, out);
+  end_established_calls(now, server, lost.established_before, out);
 }
 
 // The line shows for how long each kind of message has not come from the server.
-void SetupServers::log_calls_over(Time now, const Server& server, LostServerReason reason,
-                                  Outbox& out) const {
+void SetupServers::log_calls_over(Time now, const Server& server, const LostCalls& lost, Outbox& out) const {
   const auto age = [now](Time at) {
     return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(now - at).count());
   };
-  std::string line = "setup server " + server.endpoint.uid + " " + std::string(to_string(reason)) +
+  std::string line = "setup server " + server.endpoint.uid + " " + std::string(to_string(lost.reason)) +
                      ": ending its established calls calls=" + std::to_string(server.established_calls) +
+                     " established_before_ms=" + age(lost.established_before) +
                      " state=" + std::string(to_string(server.endpoint.state));
   for (const auto& [kind, at] : server.last_received_at)
     line += " " + std::string(to_string(kind)) + "_ms=" + age(at);
@@ -570,6 +580,7 @@
   situation.current = server.current == conn;
   situation.releases_expected = may_receive_releases(server, conn);
   situation.calls_possible = server.established_calls > 0 || may_have_former_calls(now, server);
+  situation.process_in_doubt = server.watch.process_in_doubt();
   situation.replaceable = !server.address_reassigned;
   situation.server_alive_since_retirement =
       connection.retired_at && server.newest_proven > connection.last_before_retired;
@@ -617,18 +628,26 @@
   }
 }
 
-// Ends the server's established calls: all of them, or those established before its restart at
-// `established_before`.
-void SetupServers::end_established_calls(Time now, Server& server, std::optional<Time> established_before,
-                                         Outbox& out) {
-  end_calls_if(now, server, out, [&](const UpstreamAttempt& attempt) {
-    return !established_before || attempt.state_since < *established_before;
+// Ends the server's calls that were established before that time.
+void SetupServers::end_established_calls(Time now, Server& server, Time established_before, Outbox& out) {
+  end_calls_if(now, server, out, [established_before](const UpstreamAttempt& attempt) {
+    return attempt.state_since < established_before;
   });
 }
 
-void SetupServers::end_calls_without_connection(Time now, Server& server, Outbox& out) {
-  end_calls_if(now, server, out,
-               [this](const UpstreamAttempt& attempt) { return !connections_.contains(attempt.conn); });
+// No new connection leads to the server. Its calls stand for as long as their own connections show it.
+void SetupServers::end_calls_at_reassigned_address(Time now, Server& server, Outbox& out) {
+  const int calls_before = server.established_calls;
+  end_calls_if(now, server, out, [&](const UpstreamAttempt& attempt) {
+    const auto connection = connections_.find(attempt.conn);
+    if (connection == connections_.end()) return true;
+    return is_stale(now - connection->second.calls_served_at.value_or(attempt.state_since));
+  });
+  if (server.established_calls == calls_before) return;
+  counters_.add("servers.vanished");
+  out.log(net::Level::warning, "setup server " + server.endpoint.uid +
+                                   " lost its address to another server: ended calls=" +
+                                   std::to_string(calls_before - server.established_calls));
 }
 
 // The attempts are retained as finished: the server may still send their releases, which must not be
@@ -858,7 +877,7 @@
   Server* server = find_server(connection.server);
   const Duration wait = now - connection.last_received_at;
   connection.last_received_at = now;
-  if (server != nullptr) server->watch.input_received(now);
+  if (server != nullptr) server->watch.input_received(now, conn);
   if (std::exchange(connection.received_input, true)) return;
   out.debug(now, [&] {
     return "connection_first_input server=" + name_of(connection.server) + " conn=" + std::to_string(conn);
@@ -873,6 +892,10 @@
   const MessageKind kind = kind_of(message);
   Server* server = find_server(connections_.at(conn).server);
   if (server != nullptr) server->last_received_at[kind] = now;
+  if (shows_calls(kind)) {
+    connections_.at(conn).calls_served_at = now;
+    if (server != nullptr) server->watch.calls_served(now, conn);
+  }
   if (kind != MessageKind::notification && kind != MessageKind::other) return;
   out.debug(now, [&] {
     return "message_received kind=" + std::string(to_string(kind)) +
@@ -969,6 +992,8 @@
   const LoadReport report = parse_load_report(message);
   if (attempt.state == AttemptState::sent) {
     enter_state(now, attempt, AttemptState::established);
+    Server& server = *find_server(attempt.server);
+    server.watch.call_established(now, attempt.conn, server.established_calls == 1);
     out.notify_broker(core::LoadReportReceived{attempt.server, report});
     out.notify_broker(core::AttemptEstablished{attempt.request->call, attempt.index, message.body});
     return;
@@ -1059,6 +1084,8 @@
     return;
   }
   UpstreamAttempt& attempt = it->second;
+  if (attempt.state == AttemptState::established)
+    find_server(attempt.server)->watch.call_known(attempt.state_since);
   core::AttemptFinished finished;
   finished.outcome = cause == kCauseNormalClearing ? Outcome::ok : Outcome::reset;
   if (attempt.outstanding()) {
--- a/src/upstream/setup_servers.h
+++ b/src/upstream/setup_servers.h
@@ -87,6 +87,7 @@
     ServerId server{};
     bool up = false;
     Time last_received_at{};
+    std::optional<Time> calls_served_at{};   // last message that only a process with calls sends
     std::optional<Time> last_notified_at{};  // when its last NOTIFY came
     std::optional<Time> partial_since{};     // since when a received message is incomplete
     std::set<AttemptKey> outstanding{};      // sent or abandoned, without a final response
@@ -126,7 +127,7 @@
                        Outbox& out);
   void update_reassignment(Time now, Server& server, const ServersByAddress& by_address, Outbox& out);
   void fail_queued(Time now, Server& server, Outcome outcome, Outbox& out);
-  void end_calls_without_connection(Time now, Server& server, Outbox& out);
+  void end_calls_at_reassigned_address(Time now, Server& server, Outbox& out);
   template <class Predicate>
   void end_calls_if(Time now, Server& server, Outbox& out, Predicate is_over);
   void maintain_server(Time now, Server& server, Outbox& out);
@@ -141,7 +142,7 @@
   void update_indexes(const UpstreamAttempt& attempt, bool insert);
   static std::optional<Duration> max_time_in_state(const UpstreamAttempt& attempt);
   void erase(Attempts::iterator attempt);
-  void end_established_calls(Time now, Server& server, std::optional<Time> established_before, Outbox& out);
+  void end_established_calls(Time now, Server& server, Time established_before, Outbox& out);
   void remove_connection(Time now, std::uint32_t conn, std::string_view reason, Outbox& out);
   void end_outstanding(Time now, Connection& connection, Outbox& out);
   void retire_connection(Time now, std::uint32_t conn, std::string_view reason, Outbox& out);
@@ -165,7 +166,8 @@
   void record_notification(Time now, std::uint32_t conn, Outbox& out);
   static std::string describe_malformed(const sip::ReadResult& read);
   static bool is_invite_success(const sip::Message& message);
-  void log_calls_over(Time now, const Server& server, LostServerReason reason, Outbox& out) const;
+  void end_lost_calls(Time now, Server& server, const LostCalls& lost, Outbox& out);
+  void log_calls_over(Time now, const Server& server, const LostCalls& lost, Outbox& out) const;
   static std::string_view name_of_state(AttemptState state);
   void log_sent(Time now, std::string_view event, const UpstreamAttempt& attempt, Outbox& out);
   Attempts::iterator find_attempt(std::uint32_t conn, const sip::Message& message);
--- a/tests/connection_lifecycle_test.cpp
+++ b/tests/connection_lifecycle_test.cpp
@@ -39,6 +39,9 @@
   CHECK(decide_connection(situation) == ConnectionAction::replace);
   situation.server_alive_since_retirement = true;
   CHECK(decide_connection(situation) == ConnectionAction::drop);
+  situation.process_in_doubt = true;
+  CHECK(decide_connection(situation) == ConnectionAction::replace);
+  situation.process_in_doubt = false;
   situation.retired_for = 1s;
   CHECK(decide_connection(situation) == ConnectionAction::replace);
   situation.server_alive_since_retirement = situation.calls_possible = situation.releases_expected = false;
@@ -100,9 +103,13 @@
 
 void connections_to_a_silent_server_are_bounded() {
   EstablishedLab lab;
-  const std::vector<ConnId> opened = lab.hang(7600ms);
+  std::vector<ConnId> opened = lab.hang(upstream::kMaxEvidenceAge);
   constexpr std::size_t kSetupAndNotificationConnections = 6;
   CHECK(lab.retired.size() <= upstream::kMaxRetiredConnections);
+  // The calls are over, and all connections are retired.
+  const std::vector<ConnId> opened_later = lab.hang(200ms);
+  opened.insert(opened.end(), opened_later.begin(), opened_later.end());
+  CHECK(lab.retired.size() <= upstream::kMaxRetiredConnections + lab.dropped.size());
   CHECK(opened.size() <= upstream::kMaxRetiredConnections + kSetupAndNotificationConnections);
 }
 
