SIP trunk: a dialog is confirmed by its server's answer to a probe or an older dialog's only

Now a 2xx to a probe or a request within a dialog confirms that dialog and the younger ones; 7.4 s without is the end. Tests: responses_that_confirm_no_dialog_do_not_keep_a_call_that_is_over fails without the change; younger_dialog_does_not_keep_an_older_one; call_at_a_busy_server_stands_until_its_release holds the other side.

--- a/src/upstream/sip_trunk.cpp
+++ b/src/upstream/sip_trunk.cpp
@@ -384,7 +384,6 @@
   const auto cseq = sip::cseq_of(message);
   UpstreamAttempt* attempt = find_attempt(message.header("Call-ID"));
   if (attempt == nullptr || !cseq) return;
-  watch_.message_received(now, attempt->server);
   log_message(now, "response_received", *attempt, message, out);
   if (cseq->method == "OPTIONS") return handle_probe_response(now, *attempt, message.status, out);
   if (cseq->method != "INVITE") return;
@@ -443,9 +442,13 @@
   }
 }
 
-// Response to the probe of a dialog. 481 and 408 end the dialog (§12.2.1.2).
+// Response to the probe of a dialog. A server that has it answers 200 (§11.2); 481 and 408 end it
+// (§12.2.1.2).
 void SipTrunk::handle_probe_response(Time now, UpstreamAttempt& attempt, int status, Outbox& out) {
-  if (attempt.state != State::established || (status != 481 && status != 408)) return;
+  if (attempt.state != State::established) return;
+  if (status >= 200 && status < 300)
+    return watch_.confirmed(now, attempt.server, std::string(attempt.invite.header("Call-ID")));
+  if (status != 481 && status != 408) return;
   end_lost_dialog(now, attempt, "dialog_unknown", out);
   watch_.dialog_unknown(attempt.server);
 }
@@ -463,10 +466,10 @@
                           out);
   };
   UpstreamAttempt* attempt = find_attempt(message.header("Call-ID"));
-  if (attempt != nullptr) watch_.message_received(now, attempt->server);
   const bool in_known_dialog =
       attempt != nullptr &&
       sip::parameter(message.header("To"), "tag") == sip::parameter(attempt->invite.header("From"), "tag");
+  if (in_known_dialog) watch_.confirmed(now, attempt->server, std::string(message.header("Call-ID")));
   if (message.method == "OPTIONS") return respond(200);
   if (message.method == "CANCEL") return respond(481);
   if (!in_known_dialog) return respond(sip::parameter(message.header("To"), "tag").empty() ? 405 : 481);
--- a/tests/trunk_test.cpp
+++ b/tests/trunk_test.cpp
@@ -458,6 +458,64 @@
   CHECK_EQ(count_releases(lab), 1U);
 }
 
+const std::string kFirstCall = "00000000000000aa";
+
+// Plays a server that answers INVITEs with `invite_status` and probes with `probe_status`, while callers
+// place calls; whether the first call was released meanwhile.
+bool is_first_call_released(TrunkLab& lab, Duration span, int invite_status, int probe_status) {
+  static int last_call = 0;
+  bool released = false;
+  for (Duration time{}; time < span; time += 100ms) {
+    lab.call(500, "00000000000" + std::to_string(10'000 + ++last_call));
+    lab.advance(100ms);
+    for (const auto& [peer, request] : lab.take_datagrams_to_servers()) {
+      if (request.method == "INVITE") lab.receive_from(peer, answer(request, invite_status));
+      if (request.method == "OPTIONS") lab.receive_from(peer, answer(request, probe_status));
+    }
+    for (const auto& line : lab.lines(kCaller)) released |= line.id == kFirstCall && line.type == "release";
+  }
+  return released;
+}
+
+// Each of them moved the end of the call on (report 2aa1f5).
+void responses_that_confirm_no_dialog_do_not_keep_a_call_that_is_over() {
+  for (const int invite_status : {100, 180, 486, 503}) {
+    TrunkLab lab;
+    establish_at_first_server(lab);
+    CHECK(is_first_call_released(lab, 8s, invite_status, 503));
+  }
+}
+
+void call_at_a_busy_server_stands_until_its_release() {
+  TrunkLab lab;
+  const sip::Message invite = establish_at_first_server(lab);
+  CHECK(!is_first_call_released(lab, 12s, 503, 200));
+  lab.receive_from(kServers[0], bye(invite));
+  CHECK_EQ(count_releases(lab), 1U);
+}
+
+// The new process answers for its own dialog only, and does not answer for the one of before.
+void younger_dialog_does_not_keep_an_older_one() {
+  TrunkLab lab;
+  const sip::Message first = establish_at_first_server(lab);
+  lab.call(3000, "00000000000000bb");
+  const sip::Message second = lab.take_one();
+  lab.receive_from(kServers[0], answer(second, 200, kContact, "answer"));
+  std::vector<std::string> released;
+  for (Duration time{}; time < 8s; time += 100ms) {
+    lab.advance(100ms);
+    for (const auto& [peer, request] : lab.take_datagrams_to_servers()) {
+      if (request.method == "OPTIONS" && request.header("Call-ID") == second.header("Call-ID"))
+        lab.receive_from(peer, answer(request, 200));
+    }
+    for (const auto& line : lab.lines(kCaller)) {
+      if (line.type == "release") released.push_back(line.id);
+    }
+  }
+  CHECK_EQ(released.size(), 1U);
+  CHECK_EQ(released.at(0), kFirstCall);
+}
+
 // Guards the deadline that is sent to a server: at most the caller's time left plus 0.15 s, in either header,
 // over both transports and after a wait for the connection. It fails if Expires is rounded up to whole
 // seconds, or if an INVITE that waited for its connection has the time left at the begin of the wait.
@@ -496,6 +554,9 @@
   call_at_removed_server_stands_until_its_release();
   call_established_after_removal_of_its_server_is_released();
   call_unknown_to_its_restarted_server_is_released();
+  responses_that_confirm_no_dialog_do_not_keep_a_call_that_is_over();
+  call_at_a_busy_server_stands_until_its_release();
+  younger_dialog_does_not_keep_an_older_one();
   bye_with_cause_zero_releases_call();
   failed_connect_does_not_end_established_call();
   invite_waiting_for_connection_is_withdrawn();
