A new process asks every server once for releases that went to the former one's connections

The server had accepted the new process's connection, then wrote the releases to a connection of the ended process in the same turn, and no connection followed on which it would have repeated them. Nothing asked for one: connection_proven() does so only after a hang of 0.25 s. Now the first release of a call that this process does not know, in its first 60 s, is followed by one connection to each server 0.25 s later, by when servers have noticed the end of the former process. Ruled out: a connection to each server at each start, which every start of a fleet would pay for. Test: release_of_a_former_call_is_followed_by_one_more_connection_to_each_server fails without the change.

--- a/src/upstream/server_watch.cpp
+++ b/src/upstream/server_watch.cpp
@@ -69,6 +69,11 @@
   next_repeat_ = now;
 }
 
+void ServerWatch::former_call_released(Time now) {
+  repeat_needed_ = true;
+  next_repeat_ = now + kCloseNoticeTime;
+}
+
 void ServerWatch::no_releases_expected() {
   repeat_needed_ = false;
   last_before_loss_.reset();
--- a/src/upstream/server_watch.h
+++ b/src/upstream/server_watch.h
@@ -78,6 +78,9 @@
   // A connection was reset or dropped unread while releases were expected on it. Two connections follow: the
   // server may have accepted the first of them before it wrote a release to the lost one.
   void releases_may_be_lost(Time now, std::uint32_t last_started);
+  // The server has released a call of an earlier process, which may have ended a moment ago. The server may
+  // have written others to the connections of that process, when it had already accepted one of this process.
+  void former_call_released(Time now);
   // No call can be at the server: no connection is needed for its releases.
   void no_releases_expected();
   // Whether a connection is to be opened on which the server repeats its releases.
--- a/src/upstream/setup_servers.cpp
+++ b/src/upstream/setup_servers.cpp
@@ -1077,6 +1077,7 @@
   const bool is_open =
       it != attempts_.end() && (it->second.state == AttemptState::established || it->second.outstanding());
   if (!is_open) {
+    if (it == attempts_.end()) handle_former_call_released(now);
     if (it != attempts_.end() && std::exchange(it->second.presumed_over, false))
       enter_state(now, it->second, AttemptState::finished);  // only a repetition may still come
     out.notify_broker(
@@ -1102,6 +1103,17 @@
   enter_state(now, attempt, AttemptState::finished);  // the BYE may be repeated on another connection
 }
 
+// Each server may have written releases to the connections of the former process when it had already accepted
+// one of this process.
+void SetupServers::handle_former_call_released(Time now) {
+  if (now - started_at_ >= kFormerCallsTimeout || std::exchange(former_call_released_, true)) return;
+  for (auto& [id, server] : servers_) {
+    if (server.endpoint.state == ServerState::terminated) continue;
+    server.watch.former_call_released(now);
+    servers_to_maintain_.insert(id);
+  }
+}
+
 // Detects half-open connections by notifications. A server sends each NOTIFY on all of its connections at
 // once, so a connection that stays without it while another gets it is half-open. Setups on such a connection
 // are pending until their callers time out.
--- a/src/upstream/setup_servers.h
+++ b/src/upstream/setup_servers.h
@@ -163,6 +163,7 @@
   std::vector<std::uint32_t> retired_connections(const Server& server) const;
   std::optional<Time> oldest_outstanding(const Connection& connection) const;
   std::size_t count_connections(const Server& server, bool notifications_only) const;
+  void handle_former_call_released(Time now);
   void record_notification(Time now, std::uint32_t conn, Outbox& out);
   static std::string describe_malformed(const sip::ReadResult& read);
   static bool is_invite_success(const sip::Message& message);
@@ -202,6 +203,7 @@
   std::size_t removed_server_connects_ = 0;  // to removed servers without calls of this process
   Time started_at_{};
   bool ready_ = false;
+  bool former_call_released_ = false;  // a server has released a call of an earlier process
 };
 
 }  // namespace graniterun::upstream
--- a/tests/connection_lifecycle_test.cpp
+++ b/tests/connection_lifecycle_test.cpp
@@ -2,6 +2,8 @@
 // connections under a simulated clock (report b61449, docs/design/server-watch.md).
 #include "upstream/connection_lifecycle.h"
 
+#include <map>
+
 #include "ready.h"
 
 using namespace graniterun;
@@ -131,6 +133,27 @@
   lab.expect_release_forwarded(opened.at(1));
 }
 
+// Each server may have accepted a connection of a new process before it notices the end of the former one, to
+// whose connections it writes some releases.
+void release_of_a_former_call_is_followed_by_one_more_connection_to_each_server() {
+  ConnectedLab lab(2);
+  for (const ConnId conn : {lab.s0, lab.s1}) lab.receive(conn, server_report());
+  lab.connects.clear();
+  for (const char* id : {"00000000000000f1", "00000000000000f2"}) lab.receive(lab.s0, server_bye(id, 16));
+  CHECK(lab.connects.empty());  // the servers have not noticed the end yet
+  std::map<std::string, int> opened;
+  for (int i = 0; i < 10; ++i) {
+    lab.advance(50ms);
+    for (const net::Connect& connect : std::exchange(lab.connects, {})) {
+      ++opened[connect.address];
+      lab.deliver(net::Connected{connect.conn});
+      lab.receive(connect.conn, server_report());
+    }
+  }
+  CHECK_EQ(opened["127.0.0.1:9000"], 1);
+  CHECK_EQ(opened["127.0.0.1:9001"], 1);
+}
+
 // The rest of a message that was cut short is lost, so that the release is awaited on the next connection.
 void close_within_a_message_is_followed_by_another_connection() {
   EstablishedLab lab;
@@ -182,6 +205,7 @@
   release_arrives_on_any_connection_after_a_hang();
   connections_to_a_silent_server_are_bounded();
   two_connections_follow_a_drop();
+  release_of_a_former_call_is_followed_by_one_more_connection_to_each_server();
   reset_of_a_retired_connection_loses_nothing();
   close_within_a_message_is_followed_by_another_connection();
 }
