Dialog watch: where the oldest dialog is not answered for, probe the least recently confirmed ones

Found on reading again, not seen by anyone: if a server does not answer for its oldest dialog, the other probe of each interval took turns by Call-ID and confirmed only what is younger, so that well dialogs could pass 7.4 s unconfirmed. The second probe now goes to the least recently confirmed dialog, the oldest of them first. Test: unanswered_oldest_dialog_does_not_end_the_others, 40 dialogs; whether it fails with turns by Call-ID was not tried.

--- a/src/upstream/dialog_watch.cpp
+++ b/src/upstream/dialog_watch.cpp
@@ -1,6 +1,7 @@
 #include "upstream/dialog_watch.h"
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 #include "upstream/call_evidence.h"
@@ -39,7 +40,7 @@
   for (auto& [id, dialog] : server.dialogs) {
     if (dialog.order >= order) dialog.confirmed_at = now;
   }
-  if (call_id == oldest(server)) server.next_probe_at = now + kProbeInterval;
+  if (confirmed == oldest(server)) server.next_probe_at = now + kProbeInterval;
 }
 
 void DialogWatch::dialog_unknown(ServerId server) {
@@ -55,29 +56,42 @@
     }
     if (!server.probe_all && now < server.next_probe_at) continue;
     server.next_probe_at = now + kProbeInterval;
-    add_probes(server, decision.probes);
+    add_probes(now, server, decision.probes);
   }
   return decision;
 }
 
-// The oldest dialog confirms all others; these take turns, since one of them may be unknown to its server
-// alone.
-void DialogWatch::add_probes(Server& server, std::vector<std::string>& probes) {
+// The oldest dialog confirms all others. The others take turns, those first that it has not confirmed: one of
+// them, or the oldest itself, may be unknown to its server alone.
+void DialogWatch::add_probes(Time now, Server& server, std::vector<std::string>& probes) {
   if (std::exchange(server.probe_all, false)) {
     for (const auto& [call_id, dialog] : server.dialogs) probes.push_back(call_id);
     return;
   }
-  const std::string& first = oldest(server);
-  probes.push_back(first);
-  auto next = server.dialogs.upper_bound(server.last_probed);
-  if (next == server.dialogs.end()) next = server.dialogs.begin();
-  server.last_probed = next->first;
-  if (next->first != first) probes.push_back(next->first);
+  const auto first = oldest(server);
+  first->second.probed_at = now;
+  probes.push_back(first->first);
+  const auto second = least_recently_confirmed(server);
+  if (second == first) return;
+  second->second.probed_at = now;
+  probes.push_back(second->first);
 }
 
-const std::string& DialogWatch::oldest(const Server& server) {
-  const auto by_order = [](const auto& a, const auto& b) { return a.second.order < b.second.order; };
-  return std::min_element(server.dialogs.begin(), server.dialogs.end(), by_order)->first;
+DialogWatch::Dialogs::iterator DialogWatch::oldest(Server& server) {
+  return std::ranges::min_element(server.dialogs, {}, [](const auto& entry) { return entry.second.order; });
+}
+
+// The oldest dialog only if there is no other.
+DialogWatch::Dialogs::iterator DialogWatch::least_recently_confirmed(Server& server) {
+  const auto first = oldest(server);
+  auto found = first;
+  const auto rank = [](const Dialog& dialog) {
+    return std::tuple(dialog.confirmed_at, dialog.probed_at, dialog.order);
+  };
+  for (auto it = server.dialogs.begin(); it != server.dialogs.end(); ++it) {
+    if (it != first && (found == first || rank(it->second) < rank(found->second))) found = it;
+  }
+  return found;
 }
 
 }  // namespace graniterun::upstream
--- a/src/upstream/dialog_watch.h
+++ b/src/upstream/dialog_watch.h
@@ -37,15 +37,17 @@
   struct Dialog {
     std::uint64_t order{};  // of establishment
     Time confirmed_at{};
+    Time probed_at{};
   };
+  using Dialogs = std::map<std::string, Dialog>;  // by Call-ID
   struct Server {
-    std::map<std::string, Dialog> dialogs{};  // by Call-ID
+    Dialogs dialogs{};
     Time next_probe_at{};
-    std::string last_probed{};
     bool probe_all = false;
   };
-  static void add_probes(Server& server, std::vector<std::string>& probes);
-  static const std::string& oldest(const Server& server);
+  static void add_probes(Time now, Server& server, std::vector<std::string>& probes);
+  static Dialogs::iterator oldest(Server& server);
+  static Dialogs::iterator least_recently_confirmed(Server& server);
 
   std::map<ServerId, Server> servers_{};  // with dialogs
   std::uint64_t last_order_ = 0;
--- a/tests/trunk_test.cpp
+++ b/tests/trunk_test.cpp
@@ -516,6 +516,29 @@
   CHECK_EQ(released.at(0), kFirstCall);
 }
 
+// The server does not answer for its oldest dialog, and answers for the others when they are probed.
+void unanswered_oldest_dialog_does_not_end_the_others() {
+  constexpr int kDialogs = 40;
+  const std::string oldest = "0";
+  upstream::DialogWatch watch;
+  Time now = Time{} + 100s;
+  for (int i = 0; i < kDialogs; ++i) watch.established(now, ServerId{1}, std::to_string(i * 7 % kDialogs));
+  std::vector<std::string> over;
+  for (Duration time{}; time < 20s; time += 50ms) {
+    now += 50ms;
+    const auto decision = watch.check(now);
+    for (const std::string& call_id : decision.probes) {
+      if (call_id != oldest) watch.confirmed(now, ServerId{1}, call_id);
+    }
+    for (const std::string& call_id : decision.over) {
+      over.push_back(call_id);
+      watch.ended(ServerId{1}, call_id);
+    }
+  }
+  CHECK_EQ(over.size(), 1U);
+  CHECK_EQ(over.at(0), oldest);
+}
+
 // Guards the deadline that is sent to a server: at most the caller's time left plus 0.15 s, in either header,
 // over both transports and after a wait for the connection. It fails if Expires is rounded up to whole
 // seconds, or if an INVITE that waited for its connection has the time left at the begin of the wait.
@@ -557,6 +580,7 @@
   responses_that_confirm_no_dialog_do_not_keep_a_call_that_is_over();
   call_at_a_busy_server_stands_until_its_release();
   younger_dialog_does_not_keep_an_older_one();
+  unanswered_oldest_dialog_does_not_end_the_others();
   bye_with_cause_zero_releases_call();
   failed_connect_does_not_end_established_call();
   invite_waiting_for_connection_is_withdrawn();
