--- a/src/upstream/call_evidence.cpp
+++ b/src/upstream/call_evidence.cpp
@@ -54,13 +54,13 @@
   doubts_.back().later_opened = false;
 }
 
-std::optional<StaleCalls> CallEvidence::stale_calls(Time now) const {
+std::optional<Time> CallEvidence::stale_before(Time now) const {
   const Time established_before = now - kMaxEvidenceAge;
-  if (is_stale(age(now))) return StaleCalls{established_before};
+  if (is_stale(age(now))) return established_before;
   const auto last = std::find_if(doubts_.rbegin(), doubts_.rend(),
                                  [now](const Doubt& doubt) { return is_stale(now - doubt.newest); });
   if (last == doubts_.rend()) return std::nullopt;
-  return StaleCalls{std::min(last->since + 1ns, established_before)};
+  return std::min(last->since + 1ns, established_before);
 }
 
 void CallEvidence::no_calls_before(Time time) {
--- a/src/upstream/call_evidence.h
+++ b/src/upstream/call_evidence.h
@@ -22,11 +22,6 @@
 
 constexpr bool is_stale(Duration evidence_age) { return evidence_age > kMaxEvidenceAge; }
 
-// Stale calls of a server.
-struct StaleCalls {
-  Time established_before{};
-};
-
 class CallEvidence {
  public:
   void connection_opened(std::uint32_t connection);
@@ -45,7 +40,8 @@
   // Time since the process to which new connections lead has last shown that it serves calls, or since it had
   // none.
   Duration age(Time now) const { return now - newest_; }
-  std::optional<StaleCalls> stale_calls(Time now) const;
+  // The calls that were established before the returned time are stale; none: no call is.
+  std::optional<Time> stale_before(Time now) const;
   // No call was established before that time, or all such calls are ended.
   void no_calls_before(Time time);
 
--- a/src/upstream/server_watch.cpp
+++ b/src/upstream/server_watch.cpp
@@ -32,8 +32,8 @@
   switch (reason) {
     case LostServerReason::died:
       return "died";
-    case LostServerReason::unconfirmed:
-      return "shows no sign of its calls";
+    case LostServerReason::vanished:
+      return "vanished";
   }
   return "is lost";
 }
@@ -169,10 +169,10 @@
     if (removed || (lost_at_ && now - *lost_at_ > kProcessDeathTimeout))
       return LostCalls{LostServerReason::died, now};
   }
-  const auto stale = evidence_.stale_calls(now);
-  if (!stale) return {};
-  evidence_.no_calls_before(stale->established_before);
-  return LostCalls{LostServerReason::unconfirmed, stale->established_before};
+  const auto stale_before = evidence_.stale_before(now);
+  if (!stale_before) return {};
+  evidence_.no_calls_before(*stale_before);
+  return LostCalls{LostServerReason::vanished, *stale_before};
 }
 
 }  // namespace graniterun::upstream
--- a/src/upstream/server_watch.h
+++ b/src/upstream/server_watch.h
@@ -46,7 +46,7 @@
 };
 
 // Why established calls are over without a release of the server.
-enum class LostServerReason : std::uint8_t { died, unconfirmed };
+enum class LostServerReason : std::uint8_t { died, vanished };
 std::string_view to_string(LostServerReason reason);
 
 struct LostCalls {
--- a/tests/call_evidence_test.cpp
+++ b/tests/call_evidence_test.cpp
@@ -19,8 +19,8 @@
 Time at(Duration time) { return Time{} + 100s + time; }
 
 bool is_call_stale(const CallEvidence& evidence, Time established, Time now) {
-  const auto stale = evidence.stale_calls(now);
-  return stale && established < stale->established_before;
+  const auto stale_before = evidence.stale_before(now);
+  return stale_before && established < *stale_before;
 }
 
 void a_call_is_stale_after_the_maximum_age() {
@@ -172,9 +172,9 @@
   }
   // A call that is over is stale in time, and one whose process lives is kept.
   void check() {
-    const auto stale = evidence_.stale_calls(now_);
+    const auto stale_before = evidence_.stale_before(now_);
     std::erase_if(calls_, [&](const Call& call) {
-      const bool is_stale = stale && call.established < stale->established_before;
+      const bool is_stale = stale_before && call.established < *stale_before;
       if (call.over && now_ - *call.over > kMaxEvidenceAge) CHECK(is_stale);
       // The process was asked for evidence in time, and a connection of before is there to resolve doubts.
       if (is_stale && !call.over) ++cut_;
@@ -182,7 +182,7 @@
       if (!is_stale && !call.over && now_ - call.established > 2 * kMaxEvidenceAge) ++stood_long_;
       return is_stale;
     });
-    if (stale) evidence_.no_calls_before(stale->established_before);
+    if (stale_before) evidence_.no_calls_before(*stale_before);
     CHECK_EQ(cut_, 0);
   }
 
