Testbed: a release by an earlier server of a call is not the one that its caller is owed

The testbed kept the ends and the BYEs of all servers of a call as one. They now count for the server of the call's last INVITE only, and begin anew with each INVITE; all limits are as before.

--- a/lab/call_testbed.cpp
+++ b/lab/call_testbed.cpp
@@ -154,7 +154,7 @@
   std::erase_if(byes_to_repeat_, [&](const auto& repeat) {
     if (testbed_.history(repeat.first).gatekeeper != gatekeeper) return false;
     connection.peer->write(repeat.second);
-    testbed_.record_bye(repeat.first);
+    testbed_.record_bye(repeat.first, uid_);
     return true;
   });
 }
@@ -173,8 +173,7 @@
 // A call may end while its server's process is stopped, which then sends the release later.
 void StandInServer::record_ends_while_frozen() {
   for (const auto& [id, call] : established_) {
-    CallHistory& history = testbed_.record(id);
-    if (call.ends_at && Clock::now() >= *call.ends_at && !history.ended) history.ended = *call.ends_at;
+    if (call.ends_at && Clock::now() >= *call.ends_at) testbed_.record_end(id, uid_, *call.ends_at);
   }
 }
 
@@ -235,7 +234,10 @@
     call.number = message.uri.substr(4, message.uri.find('@') - 4);
     if (answer_delay_) call.answered_at = Clock::now() + *answer_delay_;
     unanswered_.insert_or_assign(id, call);
+    // What an earlier server still does with the call is not owed to its caller.
     history.server = uid_;
+    history.ended.reset();
+    history.bye_sent.reset();
     history.invite_received = Clock::now();
     if (!rejection_.empty()) {
       ++rejections_;
@@ -246,7 +248,7 @@
   } else if (message.method == "CANCEL") {
     if (unanswered_.contains(id)) answer(id, "487 Request Terminated");
   } else if (message.method == "BYE") {
-    if (established_.erase(id) > 0 && !history.ended) history.ended = Clock::now();
+    if (established_.erase(id) > 0) testbed_.record_end(id, uid_, Clock::now());
   }
 }
 
@@ -278,13 +280,13 @@
   CHECK(it != established_.end());
   const ServedCall call = it->second;
   established_.erase(it);
-  if (CallHistory& history = testbed_.record(id); !history.ended) history.ended = Clock::now();
+  testbed_.record_end(id, uid_, Clock::now());
   const std::string bye = bye_for(id, call.number, cause);
   byes_to_repeat_.emplace_back(id, bye);
   StreamPeer* target = find_release_target(call.connection, testbed_.history(id).gatekeeper);
   if (target == nullptr) return;
   target->write(bye);
-  testbed_.record_bye(id);
+  testbed_.record_bye(id, uid_);
 }
 
 StreamPeer* StandInServer::find_release_target(std::size_t own_connection, std::size_t gatekeeper) {
@@ -307,7 +309,7 @@
 }
 
 void StandInServer::cut_call(const std::string& id) {
-  if (established_.erase(id) > 0) testbed_.record(id).ended = Clock::now();
+  if (established_.erase(id) > 0) testbed_.record_end(id, uid_, Clock::now());
 }
 
 void StandInServer::vanish() {
@@ -332,7 +334,7 @@
 
 void StandInServer::cut_calls() {
   for (const auto& [id, call] : std::exchange(established_, {})) {
-    if (CallHistory& history = testbed_.record(id); !history.ended) history.ended = Clock::now();
+    testbed_.record_end(id, uid_, Clock::now());
   }
   unanswered_.clear();
   byes_to_repeat_.clear();
@@ -477,8 +479,14 @@
   return text;
 }
 
-void CallTestbed::record_bye(const std::string& id) {
+void CallTestbed::record_end(const std::string& id, const std::string& server, TimePoint at) {
   CallHistory& call = calls_.at(id);
+  if (call.server == server && !call.ended) call.ended = at;
+}
+
+void CallTestbed::record_bye(const std::string& id, const std::string& server) {
+  CallHistory& call = calls_.at(id);
+  if (call.server != server) return;
   // What was written for a process that has ended counts from when it is written for the next one.
   if (!call.bye_sent || *call.bye_sent < gatekeepers_.at(call.gatekeeper).started_at)
     call.bye_sent = Clock::now();
--- a/lab/call_testbed.h
+++ b/lab/call_testbed.h
@@ -272,8 +272,10 @@
   std::string describe(const CallHistory& call) const;
 
   CallHistory& record(const std::string& id) { return calls_.at(id); }
-  // A server has written a release of the call.
-  void record_bye(const std::string& id);
+  // The call is over at that server, or the server has written its release. Counted for the server of the
+  // call's last INVITE only.
+  void record_end(const std::string& id, const std::string& server, TimePoint at);
+  void record_bye(const std::string& id, const std::string& server);
   bool knows(const std::string& id) const { return calls_.contains(id); }
 
  private:
