--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -1,4 +1,4 @@
 #!/bin/sh
-# A call of the old process ends during an upgrade. TROUBLE=0: the same without the upgrade.
+# See claim.txt. TROUBLE=0: the same without the disruption.
 here=$(dirname "$0")
 exec "$here/../common/run.sh" "$here"
