--- a/src/codec/jsonl.cpp
+++ b/src/codec/jsonl.cpp
@@ -51,6 +51,22 @@
   return {};
 }
 
+bool is_blank(std::string_view line) { return line.find_first_not_of(" \t\r") == std::string_view::npos; }
+
+// Parses a line that is not blank into `result`, whose `used` is set already.
+void read_line(std::string_view line, ReadResult& result) {
+  // Bounds the nesting of the line: code that recurses into values would overflow the stack.
+  const auto depth = std::count_if(line.begin(), line.end(), [](char c) { return c == '{' || c == '['; });
+  const json object = depth > 64 ? json(json::value_t::discarded) : json::parse(line, nullptr, false);
+  if (object.is_discarded()) {
+    result.error = "the line is not JSON";
+    result.message.id = find_id(line);
+  } else {
+    result.error = read_object(object, result.message);
+  }
+  result.state = result.error.empty() ? ReadState::message : ReadState::malformed;
+}
+
 }  // namespace
 
 bool is_id(std::string_view text) { return text.size() == 16 && number_of_hex(text).has_value(); }
@@ -75,37 +91,23 @@
 
 ReadResult read(std::string_view bytes) {
   ReadResult result;
-  const std::size_t end = bytes.substr(0, kMaxLineBytes).find('\n');
-  if (end == std::string_view::npos) {
-    if (bytes.size() < kMaxLineBytes) {
+  while (true) {
+    const std::string_view rest = bytes.substr(result.used);
+    const std::size_t end = rest.substr(0, kMaxLineBytes).find('\n');
+    if (end == std::string_view::npos) {
       result.state = ReadState::more;
+      if (rest.size() < kMaxLineBytes) return result;
+      result.state = ReadState::malformed;
+      result.message.id = find_id(rest.substr(0, kMaxLineBytes));
+      result.error = "the line is over 16 KiB";
+      result.unrecoverable = true;
       return result;
     }
-    result.state = ReadState::malformed;
-    result.message.id = find_id(bytes.substr(0, kMaxLineBytes));
-    result.error = "the line is over 16 KiB";
-    result.unrecoverable = true;
+    result.used += end + 1;
+    if (is_blank(rest.substr(0, end))) continue;
+    read_line(rest.substr(0, end), result);
     return result;
   }
-  const std::string_view line = bytes.substr(0, end);
-  result.used = end + 1;
-  result.state = ReadState::message;
-  if (line.find_first_not_of(" \t\r") == std::string_view::npos) {
-    ReadResult rest = read(bytes.substr(result.used));
-    rest.used += result.used;
-    return rest;
-  }
-  // Bounds the nesting of the line: the recursive parser would overflow its stack.
-  const auto depth = std::count_if(line.begin(), line.end(), [](char c) { return c == '{' || c == '['; });
-  const json object = depth > 64 ? json(json::value_t::discarded) : json::parse(line, nullptr, false);
-  if (object.is_discarded()) {
-    result.error = "the line is not JSON";
-    result.message.id = find_id(line);
-  } else {
-    result.error = read_object(object, result.message);
-  }
-  if (!result.error.empty()) result.state = ReadState::malformed;
-  return result;
 }
 
 }  // namespace graniterun::jsonl
--- a/tests/codec_test.cpp
+++ b/tests/codec_test.cpp
@@ -89,6 +89,46 @@
   CHECK(!broken.take("zz\r\n", out));
 }
 
+// What one read delivers at most to a reader of messages of 16 KiB: the buffer doubles while it holds an
+// unfinished message.
+constexpr std::size_t kMaxRead = 2 * 16 * 1024 + 4096;
+
+// Guards against a stack overflow in a reader that calls itself for each separator: one caller's 19,000 empty
+// lines in one read ended the process.
+void runs_of_separators_take_bounded_stack() {
+  const std::string line = R"({"type":"ping","id":"00000000000000ee"})"
+                           "\n";
+  const std::string request = "OPTIONS sip:a@b SIP/2.0\r\nContent-Length: 0\r\n\r\n";
+  for (const std::string separator : {"\n", "\r\n", " \n", "\t\r\n"}) {
+    std::string run;
+    while (run.size() < kMaxRead) run += separator;
+    const jsonl::ReadResult empty = jsonl::read(run);
+    CHECK(empty.state == jsonl::ReadState::more);
+    CHECK_EQ(empty.used, run.size());
+    const jsonl::ReadResult read = jsonl::read(run + line + line);
+    CHECK(read.state == jsonl::ReadState::message);
+    CHECK_EQ(read.message.type, "ping");
+    CHECK_EQ(read.used, run.size() + line.size());
+  }
+  for (const std::string separator : {"\n", "\r\n", "\r"}) {
+    std::string run;
+    while (run.size() < kMaxRead) run += separator;
+    CHECK_EQ(sip::read_stream(run).used, run.size());
+    CHECK_EQ(sip::read_stream(run + request).used, run.size() + request.size());
+    CHECK(sip::read_datagram(run).state == sip::ReadState::more);
+    CHECK(sip::read_datagram(run + request).state == sip::ReadState::message);
+  }
+  for (const std::string separator : {"\n", "\r\n", ":\n"}) {
+    std::string run;
+    while (run.size() < kMaxRead) run += separator;
+    std::string events = run + "id: 7\ndata: {}\n\n";
+    const auto event = http::take_event(events);
+    CHECK(event.has_value());
+    CHECK_EQ(event->id, "7");
+    CHECK(events.empty());
+  }
+}
+
 // Compares the ring with a string under random puts and drops.
 void ring_behaves_as_a_queue() {
   for (std::uint32_t seed = 1; seed <= 20; ++seed) {
@@ -120,6 +160,9 @@
   for (int round = 0; round < 20000; ++round) {
     std::string text = seeds[random() % 3];
     for (int i = 0; i < 3; ++i) text[random() % text.size()] = static_cast<char>(random());
+    // Mutations of whole messages do not produce long runs of one separator.
+    if (round % 50 == 0)
+      text.insert(random() % text.size(), random() % kMaxRead, "\n\r \t:;,{["[random() % 9]);
     CHECK(sip::read_stream(text).used <= text.size());
     CHECK(sip::read_datagram(text).used <= text.size());
     CHECK(jsonl::read(text).used <= text.size());
@@ -135,6 +178,7 @@
   sip_reader_rejects_malformed_messages();
   json_lines_are_read_and_written();
   events_are_read_from_a_chunked_response();
+  runs_of_separators_take_bounded_stack();
   ring_behaves_as_a_queue();
   readers_survive_random_bytes();
 }
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -785,6 +785,20 @@
   return std::find(lab.closed.begin(), lab.closed.end(), conn) != lab.closed.end();
 }
 
+// Guards against a crash by one client's run of empty lines in one read, after a line that made the buffer
+// grow.
+void run_of_empty_lines_of_one_client_harms_nobody() {
+  ConnectedLab lab;
+  const ConnId bad_client{Concern::platform, 2};
+  lab.deliver(net::Accepted{bad_client});
+  lab.receive(kCaller, setup_line_with_key());
+  lab.receive(bad_client, std::string(13000, ' '));
+  lab.receive(bad_client, std::string(19000, '\n'));
+  CHECK(lab.unread[bad_client].empty());
+  lab.receive(lab.s0, server_answer(lab.invite(lab.s0), 200, "answer"));
+  CHECK_EQ(lab.line().type, "answer");
+}
+
 // Guards against connections without input, or with an incomplete line, that fill the connection limit.
 void connection_without_a_complete_line_is_closed_within_three_seconds() {
   ConnectedLab lab;
@@ -1018,6 +1032,7 @@
   open_id_belongs_to_its_caller();
   setup_repeated_during_a_close_is_answered_on_its_new_connection();
   two_calls_under_one_id_on_one_connection_are_both_rejected();
+  run_of_empty_lines_of_one_client_harms_nobody();
   connection_without_a_complete_line_is_closed_within_three_seconds();
   idle_connections_are_closed_for_room();
   extras_out_of_range_are_rejected();
