JSON from outside: a bound on its nesting in every parser, and wrong types are errors of their line

Causes: (1) config.cpp walked a configuration file with one call for each level: a file with 20,000 nested objects, read at SIGHUP, ends the process. Copies and prints of a parsed line have a frame for each level as well; service configurations had a bound, in two places, other lines only their length. (2) read_lines() caught ProtocolError; json::value() throws another type where the value has another type, and nobody caught that.

Change: codec/bounded_json parses with a bound of 64 levels, for the configuration file, control lines, the distributor's files, discovery events and service configurations; the two copies of that check are gone. read_lines() reports a wrong type as an error of the line. graniterunctl read a missing `members` by operator[] of a const object, which is undefined.

Tests, both ended the program on the code before (signal 11; uncaught type_error.302): retune (error_text_is_one_line_with_position, a nested file) and control (a_gatekeepers_malformed_lines_do_not_end_the_publisher).

--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -6,6 +6,7 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "codec/bounded_json.h"
 #include "codec/jsonl.h"
 #include "distribution/distributor.h"
 #include "wire.h"
@@ -36,7 +37,11 @@
   if (source.find_first_not_of(" \t\r\n") == std::string_view::npos)
     throw ConfigError(std::string(what) + " is empty");
   try {
-    json parsed = json::parse(source);
+    JsonNestingLimit limit;
+    json parsed = json::parse(source, std::ref(limit));
+    if (limit.exceeded())
+      throw ConfigError(std::string(what) + " is deeper than " + std::to_string(kMaxJsonDepth) +
+                        " objects and lists");
     if (!parsed.is_object()) throw ConfigError(std::string(what) + " is not a JSON object");
     return parsed;
   } catch (const json::parse_error& error) {
--- a/src/config/overlay.cpp
+++ b/src/config/overlay.cpp
@@ -2,6 +2,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "codec/bounded_json.h"
+
 namespace graniterun {
 namespace {
 
@@ -15,13 +17,9 @@
 std::string find_error(const std::string& content, json& patch) {
   if (content.size() > distribution::kMaxConfigBytes)
     return "is longer than " + std::to_string(distribution::kMaxConfigBytes) + " bytes";
-  bool too_deep = false;
-  const auto check_depth = [&too_deep](int depth, json::parse_event_t, json&) {
-    too_deep = too_deep || depth > kMaxNestingDepth;
-    return !too_deep;  // discards values that are nested deeper
-  };
-  patch = json::parse(content, check_depth, false);
-  if (too_deep) return "is deeper than " + std::to_string(kMaxNestingDepth) + " objects and lists";
+  ParsedJson parsed = parse_bounded_json(content);
+  if (parsed.too_deep) return "is deeper than " + std::to_string(kMaxJsonDepth) + " objects and lists";
+  patch = std::move(parsed.value);
   if (!patch.is_object()) return "is no JSON object";
   for (const auto& [key, value] : patch.items()) {
     if (key != "settings" && key != "journal")
--- a/src/config/overlay.h
+++ b/src/config/overlay.h
@@ -11,14 +11,10 @@
 
 namespace graniterun {
 
-// Maximum nesting of objects and lists in a service configuration, the same as where it is published: the
-// JSON code recurses once per level.
-constexpr int kMaxNestingDepth = 64;
-
 // Returns the text for read_platform_config: `base` with each service configuration's JSON merge patch (RFC
 // 7396) applied in order. Throws ConfigError if the base or a configuration is no JSON object, if a
 // configuration sets anything but `settings` and `journal`, is longer than kMaxConfigBytes or nested deeper
-// than kMaxNestingDepth, or if there are more than kMaxSubscribedServices. Cost: linear in the texts.
+// than kMaxJsonDepth, or if there are more than kMaxSubscribedServices. Cost: linear in the texts.
 std::string apply_service_configs(std::string_view base,
                                   const std::vector<distribution::ServiceConfig>& configs);
 
--- a/src/control/config_distributor.cpp
+++ b/src/control/config_distributor.cpp
@@ -132,7 +132,7 @@
 
 void ConfigDistributor::read_index(const net::FileRead& event, Outbox& out) {
   if (!event.text) return;
-  const json index = json::parse(*event.text, nullptr, false);
+  const json index = parse_bounded_json(*event.text).value;
   if (!index.is_object() || !index.contains("voted") || !index["voted"].is_boolean() ||
       !index.contains("buckets") || !index["buckets"].is_array())
     return reject_file(event.path, "the index is not an object with 'voted' and 'buckets'", out);
--- a/src/control/config_lines.cpp
+++ b/src/control/config_lines.cpp
@@ -148,8 +148,8 @@
 }
 
 json parsed_line(std::string_view line) {
-  json object = json::parse(line, nullptr, false);
-  if (object.is_discarded() || !object.is_object()) throw ProtocolError("the line is not a JSON object");
+  json object = parse_bounded_json(line).value;
+  if (!object.is_object()) throw ProtocolError("the line is not a JSON object");
   return object;
 }
 
@@ -314,14 +314,9 @@
 }
 
 std::string canonical_patch(std::string_view text) {
-  bool too_deep = false;
-  const auto check_depth = [&](int depth, json::parse_event_t, json&) {
-    too_deep = too_deep || depth > kMaxPatchDepth;
-    return !too_deep;
-  };
-  const json patch = json::parse(text, check_depth, false);
-  if (too_deep) throw ProtocolError("the patch is nested deeper than " + std::to_string(kMaxPatchDepth));
-  if (patch.is_discarded() || !patch.is_object()) throw ProtocolError("the patch is not a JSON object");
+  const auto [patch, too_deep] = parse_bounded_json(text);
+  if (too_deep) throw ProtocolError("the patch is nested deeper than " + std::to_string(kMaxJsonDepth));
+  if (!patch.is_object()) throw ProtocolError("the patch is not a JSON object");
   for (const auto& [key, value] : patch.items()) {
     if (key != "settings" && key != "journal")
       throw ProtocolError("the patch sets '" + truncated(key, 64) +
--- a/src/control/config_lines.h
+++ b/src/control/config_lines.h
@@ -19,7 +19,6 @@
 constexpr std::size_t kMaxSentReasonLength = 500;
 // Bytes of a rejection reason that are accepted: each sent byte that is not UTF-8 arrives as three.
 constexpr std::size_t kMaxReasonLength = 2048;
-constexpr int kMaxPatchDepth = 64;  // nested objects and arrays
 
 std::string_view to_string(distribution::VoterState voter_state);  // new, recovering, voting
 // Whether the length is within bounds and no control character occurs.
@@ -63,7 +62,7 @@
 std::map<std::string, distribution::ServiceRecord> parse_records(std::string_view text);
 
 // The canonical form of a JSON merge patch: no white space, keys sorted. Throws ProtocolError if the text is
-// not a JSON object, sets a key other than `settings` and `journal`, or is nested deeper than kMaxPatchDepth.
+// not a JSON object, sets a key other than `settings` and `journal`, or is nested deeper than kMaxJsonDepth.
 std::string canonical_patch(std::string_view text);
 
 // Describes why canonical content cannot be published for the service: an invalid service name, a wrong size,
--- a/src/control/gap_client.cpp
+++ b/src/control/gap_client.cpp
@@ -224,13 +224,14 @@
 
 void GapClient::handle_fleet_answer(Target& target, const json& line, Outbox& out) {
   if (line.value("re", json("")) != "fleet") return;
+  const json page = line.value("members", json::array());
   json members =
       target.fleet_answer.is_object() ? target.fleet_answer.value("members", json::array()) : json::array();
-  for (const json& member : line.value("members", json::array())) members.push_back(member);
+  for (const json& member : page) members.push_back(member);
   target.fleet_answer = line;
   target.fleet_answer["members"] = std::move(members);
-  if (line.value("more", false) && !line["members"].empty()) {
-    const std::string last = text_in(line["members"].back(), "name");
+  if (line.value("more", false) && !page.empty()) {
+    const std::string last = text_in(page.back(), "name");
     return send(target, {{"op", "fleet"}, {"what", "members"}, {"after", last}}, out);
   }
   target.done = true;
--- a/src/control/gap_json.h
+++ b/src/control/gap_json.h
@@ -9,6 +9,7 @@
 
 #include "call_gapping/gap_register.h"
 #include "call_gapping/hot_numbers.h"
+#include "codec/bounded_json.h"
 
 namespace graniterun::control {
 
@@ -54,8 +55,9 @@
 std::string fingerprint_text(std::uint64_t fingerprint);
 
 // Parses the complete lines in `bytes` and calls `handle_object` for each JSON object. A line that is not an
-// object, or for which `handle_object` throws ProtocolError, goes to `handle_error` with the reason. Empty
-// lines are skipped. Returns the number of bytes consumed, or nothing if a line exceeds kMaxLineBytes.
+// object, is nested deeper than kMaxJsonDepth, or for which `handle_object` throws ProtocolError or finds a
+// value of another type than it reads, goes to `handle_error` with the reason. Empty lines are skipped.
+// Returns the number of bytes consumed, or nothing if a line exceeds kMaxLineBytes.
 template <class ObjectHandler, class ErrorHandler>
 std::optional<std::size_t> read_lines(std::string_view bytes, ObjectHandler handle_object,
                                       ErrorHandler handle_error) {
@@ -70,8 +72,8 @@
     const std::string_view line = bytes.substr(used, end - used);
     used = end + 1;
     if (line.find_first_not_of(" \r\t") == std::string_view::npos) continue;
-    const auto object = nlohmann::json::parse(line, nullptr, false);
-    if (object.is_discarded() || !object.is_object()) {
+    const nlohmann::json object = parse_bounded_json(line).value;
+    if (!object.is_object()) {
       handle_error(nlohmann::json::object(), "the line is not a JSON object");
       continue;
     }
@@ -79,6 +81,8 @@
       handle_object(object);
     } catch (const ProtocolError& error) {
       handle_error(object, error.what());
+    } catch (const nlohmann::json::exception&) {
+      handle_error(object, "a value is of another type than the protocol has there");
     }
   }
   return used;
--- a/src/upstream/discovery.cpp
+++ b/src/upstream/discovery.cpp
@@ -3,6 +3,8 @@
 #include <charconv>
 #include <nlohmann/json.hpp>
 
+#include "codec/bounded_json.h"
+
 namespace graniterun::upstream {
 namespace {
 
@@ -149,7 +151,7 @@
   counters_.add("journal.events");
   try {
     if (!event.data.empty()) {  // an event without data only reports the position
-      const auto data = nlohmann::json::parse(event.data, nullptr, false);
+      const nlohmann::json data = parse_bounded_json(event.data).value;
       if (!data.is_object()) throw ConfigError("journal event is not a JSON object");
       if (data.contains("hosts")) updates_.push_back(read_endpoints(data["hosts"]));
     }
--- a/tests/config_lines_test.cpp
+++ b/tests/config_lines_test.cpp
@@ -546,8 +546,8 @@
     const auto count = static_cast<std::size_t>(depth);
     return R"({"settings":)" + std::string(count, '[') + std::string(count, ']') + "}";
   };
-  CHECK(!throws_protocol_error([&] { canonical_patch(nested(kMaxPatchDepth - 2)); }));
-  CHECK(throws_protocol_error([&] { canonical_patch(nested(kMaxPatchDepth + 2)); }));
+  CHECK(!throws_protocol_error([&] { canonical_patch(nested(kMaxJsonDepth - 2)); }));
+  CHECK(throws_protocol_error([&] { canonical_patch(nested(kMaxJsonDepth + 2)); }));
   CHECK(throws_protocol_error([&] { canonical_patch(nested(100'000)); }));
 }
 
--- a/tests/control_test.cpp
+++ b/tests/control_test.cpp
@@ -699,6 +699,29 @@
   }
 }
 
+// Guards against a publisher that ends on a gatekeeper's line with a value of another type, or with nested
+// values that overflow the stack where the line is copied.
+void a_gatekeepers_malformed_lines_do_not_end_the_publisher() {
+  GapFleet fleet(8);
+  fleet.net.run(1s);
+  std::vector<ConnId> conns;
+  for (const auto& [end, other] : fleet.net.links) {
+    if (end.node == fleet.publisher_node) conns.push_back(end.conn);
+  }
+  CHECK_EQ(conns.size(), 8U);
+  const std::string stored =
+      to_json(*fleet.settings(GapClientSettings::Command::announce).announcement).dump();
+  const std::string deep = std::string(15'000, '[') + std::string(15'000, ']');
+  for (const std::string& line :
+       {R"({"re":"list","ok":true,"gaps":[)" + stored + R"(],"more":5})",
+        std::string(R"({"re":[],"ok":true})"), std::string(R"({"event":{},"gap":[]})"),
+        R"({"event":"other","x":)" + deep + "}"})
+    fleet.net.tell(*fleet.publisher_node, net::Received{conns.front(), line + "\n"});
+  fleet.net.run(1s);
+  CHECK(!fleet.publisher_node->status);
+  CHECK_EQ(fleet.run_client(fleet.settings(GapClientSettings::Command::announce)).first, 0);
+}
+
 void an_unreadable_file_is_not_overwritten() {
   GapFleet fleet(8);
   fleet.net.kill(*fleet.publisher_node);
@@ -766,6 +789,7 @@
   the_client_reports_how_many_gatekeepers_obey();
   gaps_announced_without_a_publisher_reach_all_gatekeepers_later();
   a_publisher_killed_during_a_push_resumes_from_its_file();
+  a_gatekeepers_malformed_lines_do_not_end_the_publisher();
   an_unreadable_file_is_not_overwritten();
   a_restarted_publisher_pushes_a_thousand_gaps();
   slots_are_allocated_by_demand();
--- a/tests/retune_test.cpp
+++ b/tests/retune_test.cpp
@@ -142,6 +142,12 @@
   json f = file_with_two_servers();
   f["settings"]["classes"][1]["hardLimitNs"] = "soon";
   CHECK_EQ(error_of(f.dump()), "'class safety: hardLimitNs' is \"soon\", not a number above 0");
+  // Guards against a stack overflow in the code that walks the file.
+  constexpr std::size_t kDepth = 20'000;
+  std::string nested = "0" + std::string(kDepth, '}') + ",";
+  for (std::size_t i = 0; i < kDepth; ++i) nested.insert(0, "{\"a\":");
+  nested = file_with_two_servers().dump().insert(1, "\"extra\":" + nested);
+  CHECK_EQ(error_of(nested), "the configuration is deeper than 64 objects and lists");
 }
 
 void open_calls_keep_class_and_attempt_limit() {
