--- a/src/downstream/platform.cpp
+++ b/src/downstream/platform.cpp
@@ -113,27 +113,30 @@
   }
 }
 
-void Platform::begin_handover(Outbox& out) {
-  handed_over_ = true;
-  close_idle(out);
+void Platform::begin_handover(Time now, Time close_callers_at, Outbox& out) {
+  close_callers_at_ = close_callers_at;
+  continue_handover(now, out);
 }
 
-// Closes the connections without an open setup, a partial line or an unconfirmed release. The runtime
-// delivers input that has arrived meanwhile instead of closing.
-void Platform::close_idle(Outbox& out) {
+// The runtime delivers input that has arrived meanwhile instead of closing.
+void Platform::continue_handover(Time now, Outbox& out) {
+  if (!close_callers_at_) return;
+  const bool keep_established = now < *close_callers_at_;
   for (const auto& [conn, connection] : connections_) {
-    if (connection.waiting.empty() && connection.unconfirmed_releases.empty() &&
-        !reaper_.has_partial_message(conn))
-      out.net.push_back(net::CloseIfIdle{conn});
+    if (!connection.waiting.empty() || !connection.unconfirmed_releases.empty()) continue;
+    if (reaper_.has_partial_message(conn)) continue;
+    if (keep_established && !connection.established.empty()) continue;
+    out.net.push_back(net::CloseIfIdle{conn});
   }
 }
 
 void Platform::on(Time now, const net::TimerFired&, Outbox& out) {
   out.arm(net::Concern::platform, 0, now + kReapInterval);
-  if (handed_over_) close_idle(out);
+  continue_handover(now, out);
   make_room(now, out);
-  for (const ConnectionReaper::Expired& expired :
-       reaper_.expired(now, [this](net::ConnId c) { return is_busy(c); })) {
+  // The release of an established call may find no other connection: its own does not count as idle.
+  const auto is_in_use = [this](net::ConnId c) { return is_busy(c) || has_established_call(c); };
+  for (const ConnectionReaper::Expired& expired : reaper_.expired(now, is_in_use)) {
     counters_.add("platform.closed_idle");
     if (expired.message_timed_out) {
       close(now, expired.conn, out);
@@ -159,6 +162,11 @@
   return it != connections_.end() && !it->second.waiting.empty();
 }
 
+bool Platform::has_established_call(net::ConnId conn) const {
+  const auto it = connections_.find(conn);
+  return it != connections_.end() && !it->second.established.empty();
+}
+
 void Platform::on(Time now, const net::Received& event, Outbox& out) {
   std::size_t used = 0;
   bool complete = false;
@@ -328,7 +336,9 @@
   if (it == calls_.end()) return;
   counters_.add("platform.answers");
   it->second.established = true;
-  connections_[it->second.conn].waiting.erase(effect.call);
+  Connection& connection = connections_[it->second.conn];
+  connection.waiting.erase(effect.call);
+  connection.established.insert(effect.call);
   jsonl::Message message = make_message("answer", it->second.id);
   message.description = effect.description;
   out.send(it->second.conn, message.text());
@@ -391,8 +401,9 @@
   }
   if (!targets.empty()) return;
   out.debug(now, [&] { return "caller_released call=" + id + " waits_for_connection=1"; });
-  if (unassigned_releases_.size() < kMaxUnassignedReleases)
-    unassigned_releases_.emplace_back(id, std::move(line));
+  if (unassigned_releases_.size() >= kMaxUnassignedReleases)
+    return counters_.add("platform.releases_dropped");
+  unassigned_releases_.emplace_back(id, std::move(line));
 }
 
 void Platform::release_by_caller(CallId call, int cause, Outbox& out) {
@@ -408,8 +419,10 @@
 void Platform::forget(CallId call) {
   const auto it = calls_.find(call);
   if (it == calls_.end()) return;
-  if (const auto conn = connections_.find(it->second.conn); conn != connections_.end())
+  if (const auto conn = connections_.find(it->second.conn); conn != connections_.end()) {
     conn->second.waiting.erase(call);
+    conn->second.established.erase(call);
+  }
   by_id_.erase(it->second.id);
   calls_.erase(it);
 }
--- a/src/downstream/platform.h
+++ b/src/downstream/platform.h
@@ -42,9 +42,14 @@
     settings_.classes = std::move(classes);
   }
   // Called when another process accepts the callers from now on: closes each connection as soon as it has no
-  // open setup, no partial line and no unconfirmed release.
-  void begin_handover(Outbox& out);
+  // open setup, no partial line and no unconfirmed release. Until `close_callers_at`, connections with
+  // established calls stay open, since the releases of these calls could not be sent without them.
+  void begin_handover(Time now, Time close_callers_at, Outbox& out);
+  // Closes the connections that may be closed by now; to be called repeatedly after begin_handover.
+  void continue_handover(Time now, Outbox& out);
   std::size_t connection_count() const { return connections_.size(); }
+  // Releases that wait for a connection to be sent on.
+  std::size_t unassigned_releases() const { return unassigned_releases_.size(); }
 
   void apply(const core::AnswerCaller& effect, Outbox& out);
   void apply(const core::RejectRequest& effect, Outbox& out);
@@ -64,6 +69,7 @@
   };
   struct Connection {
     std::set<CallId> waiting;                                    // setups without an answer
+    std::set<CallId> established;                                // calls whose setup came on it
     std::map<std::string, PendingRelease> unconfirmed_releases;  // by id, until `released` comes
     bool has_sent_setup = false;                                 // a valid one: a caller reads it
     bool peer_closed = false;  // the caller has closed its side: its setups are answered already
@@ -78,11 +84,11 @@
   void reject_malformed(Time now, net::ConnId conn, const std::string& id, const std::string& error,
                         Outbox& out);
   void close(Time now, net::ConnId conn, Outbox& out);
-  void close_idle(Outbox& out);
   void make_room(Time now, Outbox& out);
   void cancel_waiting(Connection& connection, Outbox& out);
   void answer_waiting(net::ConnId conn, Connection& connection, Outbox& out);
   bool is_busy(net::ConnId conn) const;
+  bool has_established_call(net::ConnId conn) const;
   void send_release(Time now, net::ConnId preferred, const std::string& id, std::string line, Outbox& out);
   std::map<std::string, std::string> unread_releases();
   std::vector<net::ConnId> release_connections(net::ConnId preferred) const;
@@ -100,7 +106,7 @@
   std::deque<std::pair<std::string, std::string>> unassigned_releases_;
   std::uint64_t last_call_ = 0;
   bool ready_ = false;
-  bool handed_over_ = false;
+  std::optional<Time> close_callers_at_{};  // set once another process accepts the callers
 };
 
 }  // namespace graniterun::downstream
--- a/src/gatekeeper/gatekeeper.cpp
+++ b/src/gatekeeper/gatekeeper.cpp
@@ -23,9 +23,11 @@
 constexpr Duration kKillDelay = 700ms;
 // Margin before the earliest SIGKILL: open requests are rejected at its begin, the exit is due at its half.
 constexpr Duration kFinalAnswerMargin = 300ms;
-// Limits with a successor process, to which the remaining established calls are left after both have passed.
+// Maximum counted caller timeout with a successor process.
 constexpr Duration kMaxUpgradeTimeout = 5s;
-constexpr Duration kUpgradeGracePeriod = 2s;
+// Time before open requests are rejected, with a successor process, in which callers' connections are closed
+// also if calls are established on them, each in a moment without an open request.
+constexpr Duration kHandoverCloseWindow = 1s;
 
 downstream::PlatformFrontSettings platform_settings(const PlatformConfig& config, const DeployConfig& deploy,
                                                     const core::ClassTable& classes) {
@@ -139,8 +141,9 @@
   if (trunk_) handler(net::Concern::trunk) = handler_of(*trunk_);
   handler(net::Concern::control) = handler_of(control_);
   handler(net::Concern::management) = handler_of(management_);
-  handler(net::Concern::process) = [](Time now, const net::Event&, Outbox& out) {
+  handler(net::Concern::process) = [this](Time now, const net::Event&, Outbox& out) {
     out.arm(net::Concern::process, 0, now + kShutdownCheckInterval);
+    platform_.continue_handover(now, out);
   };
   handler(net::Concern::discovery) = [this, step = handler_of(journal_)](Time now, const net::Event& event,
                                                                          Outbox& out) {
@@ -368,7 +371,7 @@
   fleet_.leave(now, config_.inherited_socket.has_value(), out);
   if (config_.inherited_socket) {
     out.net.push_back(net::StopListening{net::Concern::platform});
-    platform_.begin_handover(out);
+    platform_.begin_handover(now, now + answers_due_after_stop() - kHandoverCloseWindow, out);
   }
   out.arm(net::Concern::process, 0, now + kShutdownCheckInterval);
 }
@@ -453,17 +456,18 @@
   journal_.change_address(now, fresh.journal, out);
 }
 
+// Time from the stop request until open requests are rejected: SIGKILL may follow kFinalAnswerMargin later.
+Duration Gatekeeper::answers_due_after_stop() const {
+  Duration max_timeout{};
+  for (const CallClass& c : classes_.by_index) max_timeout = std::max(max_timeout, c.caller_timeout);
+  const Duration max_counted = config_.inherited_socket ? kMaxUpgradeTimeout : kMaxCountedTimeout;
+  return std::min(max_timeout, max_counted) + kKillDelay - kFinalAnswerMargin;
+}
+
 void Gatekeeper::exit_if_drained(Time now, Outbox& out) {
   if (!stop_requested_at_) return;
   const Duration elapsed = now - *stop_requested_at_;
-  Duration max_timeout{};
-  for (const CallClass& c : classes_.by_index) max_timeout = std::max(max_timeout, c.caller_timeout);
-  const Duration counted_timeout =
-      std::min(max_timeout, config_.inherited_socket ? kMaxUpgradeTimeout : kMaxCountedTimeout);
-  const Duration answers_due = counted_timeout + kKillDelay - kFinalAnswerMargin;
-  // With a successor, established calls may end normally for a while; without one, SIGKILL is imminent.
-  const Duration exit_due = config_.inherited_socket ? kMaxUpgradeTimeout + kUpgradeGracePeriod
-                                                     : answers_due + kFinalAnswerMargin / 2;
+  const Duration answers_due = answers_due_after_stop();
   // Every open request gets an answer before the exit, even if its deadline is later.
   if (broker_.unanswered() > 0 && elapsed >= answers_due) {
     out.log(net::Level::warning,
@@ -471,13 +475,21 @@
     out.notify_broker(core::ShutdownStarted{});
     drain_broker_events(now, out);
   }
-  if (elapsed >= exit_due) return request_exit(net::Exit{0}, out);
-  if (elapsed < std::min(kLateArrivalWindow, answers_due)) return;
-  const bool drained =
-      broker_.unanswered() == 0 &&
-      (!config_.inherited_socket || (broker_.established() == 0 && platform_.connection_count() == 0));
+  if (elapsed >= answers_due + kFinalAnswerMargin / 2) return request_exit(net::Exit{0}, out);
+  // Without a successor, new connections and requests still arrive for a while.
+  if (!config_.inherited_socket && elapsed < std::min(kLateArrivalWindow, answers_due)) return;
   // ExitIfIdle does nothing while output is unwritten or input unread; the next check tries again.
-  if (drained) request_exit(net::ExitIfIdle{0}, out);
+  if (drained()) request_exit(net::ExitIfIdle{0}, out);
+}
+
+// Whether this process owes nothing to any peer. With a successor, the established calls of platform callers
+// are kept only while a caller's connection is open: without one their releases could not be sent from here,
+// while setup servers that see this process' connections closed send them to the successor.
+bool Gatekeeper::drained() const {
+  if (broker_.unanswered() > 0) return false;
+  const bool calls_ended =
+      config_.inherited_socket ? platform_.connection_count() == 0 : platform_.unassigned_releases() == 0;
+  return calls_ended;
 }
 
 void Gatekeeper::request_exit(const net::Effect& end, Outbox& out) {
--- a/src/gatekeeper/gatekeeper.h
+++ b/src/gatekeeper/gatekeeper.h
@@ -60,7 +60,9 @@
   const std::string& name_of(ServerId server) const;
   void drain_broker_events(Time now, Outbox& out);
   void apply(Time now, const core::Effect& effect, Outbox& out);
+  Duration answers_due_after_stop() const;
   void exit_if_drained(Time now, Outbox& out);
+  bool drained() const;
   void request_exit(const net::Effect& end, Outbox& out);
   Counters all_counters() const;
   std::string counters_text() const;
