Upgrade: one process at a time holds the SIP addresses, and unconfirmed BYEs delay the exit

Cause: Bind let the new process share the UDP port of the old one (GLib's allow_reuse is SO_REUSEPORT there), so the kernel divided the callers by their addresses in the middle of their dialogs: an ACK that reached the new process was dropped, and the BYE that waited for it ended with the old one. exit_if_drained() counted no BYE to a SIP caller, neither one that waits for the ACK nor one without a final response. With sip.tcp the new process could not start at all beside the old one: its Listen failed, which ends it.

Change: in an upgrade the new process waits for the SIP addresses (Bind and Listen with wait_for_address: not shared, tried again every 20 ms). The old one frees the TCP listener at SIGTERM and keeps the UDP address until its dialogs have ended and its BYEs are confirmed, within the time before the earliest SIGKILL; it takes new INVITEs until then. BYEs without a final response delay the exit without a successor, too. Turned down: to steer datagrams between the two sockets by a filter program on the port, which would need the tags to tell the process; and to pass datagrams on from one process to the other, which is a message between gatekeepers.

Tests: sip (old_process_keeps_its_dialogs_in_an_upgrade; unconfirmed_bye_delays_the_exit, which failed on the code before: it had exited).

--- a/src/downstream/sip.cpp
+++ b/src/downstream/sip.cpp
@@ -120,8 +120,26 @@
 
 void Sip::start(Time now, Outbox& out) const {
   if (settings_.tcp || settings_.udp) out.arm(net::Concern::sip, kReapTimer, now + kReapInterval);
-  if (settings_.udp) out.net.push_back(net::Bind{net::Concern::sip, *settings_.udp});
-  if (settings_.tcp) out.net.push_back(net::Listen{net::Concern::sip, *settings_.tcp});
+  if (settings_.udp) {
+    net::Bind bind{net::Concern::sip, *settings_.udp};
+    bind.wait_for_address = settings_.wait_for_addresses;
+    out.net.push_back(bind);
+  }
+  if (settings_.tcp) {
+    net::Listen listen{net::Concern::sip, *settings_.tcp};
+    listen.wait_for_address = settings_.wait_for_addresses;
+    out.net.push_back(listen);
+  }
+}
+
+void Sip::begin_handover(Outbox& out) const {
+  if (settings_.tcp) out.net.push_back(net::StopListening{net::Concern::sip});
+}
+
+std::size_t Sip::pending_byes() const {
+  const auto waiting =
+      std::ranges::count_if(calls_, [](const auto& call) { return call.second.bye_after_ack; });
+  return static_cast<std::size_t>(waiting) + transactions_.pending_byes();
 }
 
 // ---- input
--- a/src/downstream/sip.h
+++ b/src/downstream/sip.h
@@ -33,6 +33,8 @@
   std::uint64_t seed{};
   std::size_t max_connections{64};
   std::vector<std::string> load_control_from{};  // neighbours to subscribe at (RFC 7200)
+  // Another process of this gatekeeper may hold the listening addresses until it ends.
+  bool wait_for_addresses{};
 };
 
 class Sip {
@@ -48,6 +50,13 @@
   void on(Time now, const net::PeerClosed& event, Outbox& out);
   void on(Time now, const net::Datagram& event, Outbox& out);
   void on(Time now, const net::TimerFired& event, Outbox& out);
+  // Called when another process of this gatekeeper is to take over: frees the TCP address for it. The UDP
+  // address is freed by the end of this process, since datagrams of its dialogs come there until then.
+  void begin_handover(Outbox& out) const;
+  // Number of calls without a final response, or established.
+  std::size_t call_count() const { return calls_.size(); }
+  // Number of BYEs that callers have not confirmed, or that wait for the caller's ACK.
+  std::size_t pending_byes() const;
   void set_ready(bool ready) { ready_ = ready; }
   void replace_classes(std::shared_ptr<const core::Classes> classes) {
     settings_.classes = std::move(classes);
--- a/src/gatekeeper/gatekeeper.cpp
+++ b/src/gatekeeper/gatekeeper.cpp
@@ -47,6 +47,7 @@
   settings.seed = config.seed;
   settings.max_connections = descriptor_shares(config.max_sockets).callers / 2;
   settings.load_control_from = deploy.load_control_from;
+  settings.wait_for_addresses = config.inherited_socket.has_value();
   return settings;
 }
 
@@ -372,6 +373,7 @@
   if (config_.inherited_socket) {
     out.net.push_back(net::StopListening{net::Concern::platform});
     platform_.begin_handover(now, now + answers_due_after_stop() - kHandoverCloseWindow, out);
+    sip_.begin_handover(out);
   }
   out.arm(net::Concern::process, 0, now + kShutdownCheckInterval);
 }
@@ -484,12 +486,14 @@
 
 // Whether this process owes nothing to any peer. With a successor, the established calls of platform callers
 // are kept only while a caller's connection is open: without one their releases could not be sent from here,
-// while setup servers that see this process' connections closed send them to the successor.
+// while setup servers that see this process' connections closed send them to the successor. SIP dialogs are
+// bound to this process.
 bool Gatekeeper::drained() const {
   if (broker_.unanswered() > 0) return false;
-  const bool calls_ended =
-      config_.inherited_socket ? platform_.connection_count() == 0 : platform_.unassigned_releases() == 0;
-  return calls_ended;
+  const bool calls_ended = config_.inherited_socket
+                               ? platform_.connection_count() == 0 && sip_.call_count() == 0
+                               : platform_.unassigned_releases() == 0;
+  return calls_ended && sip_.pending_byes() == 0;
 }
 
 void Gatekeeper::request_exit(const net::Effect& end, Outbox& out) {
--- a/src/net/events.h
+++ b/src/net/events.h
@@ -141,9 +141,11 @@
                                           // instead of a new one
   std::size_t reserved_connections =
       0;  // maximum connections, outside RuntimeLimits::max_connections; 0: they count against that limit
-  bool required = true;  // false: the program continues if listening fails
+  bool required = true;           // false: the program continues if listening fails
+  bool wait_for_address = false;  // while another socket holds the address, tries again until that is closed
 };
-// Accepts no more connections. Other processes that share the socket can still accept.
+// Accepts no more connections. Other processes that share the socket can still accept; an address that is not
+// shared is freed.
 struct StopListening {
   Concern concern{};
 };
@@ -153,6 +155,8 @@
   // The port is not shared (no SO_REUSEADDR), and Unreachable events are reported. The result is
   // BindSucceeded or BindFailed; a failure does not end the program.
   bool exclusive = false;
+  // The port is not shared, and while another socket holds it, the runtime tries again until that is closed.
+  bool wait_for_address = false;
 };
 // Closes the UDP sockets of the concern, which frees their ports.
 struct Unbind {
--- a/src/net/runtime.cpp
+++ b/src/net/runtime.cpp
@@ -246,7 +246,15 @@
     std::size_t reserved_connections = 0;
     std::size_t open = 0;  // connections accepted here and not closed yet
     bool exclusive = false;
-    bool stopped = false;  // accepts no more connections
+    bool inherited = false;  // shared with other processes
+    bool stopped = false;    // accepts no more connections
+    bool accepts_connections() const {
+      return g_socket_get_socket_type(socket.get()) == G_SOCKET_TYPE_STREAM;
+    }
+  };
+  struct AwaitedAddress {  // held by another socket at the last try
+    Listen listen;
+    GSocketType type;
   };
   struct Timer {
     Time at;
@@ -352,6 +360,7 @@
   }
   void carry_out(const Bind& e) {
     Listen wanted{e.concern, e.address};
+    wanted.wait_for_address = e.wait_for_address;
     if (e.exclusive) wanted.required = false;
     if (listen(wanted, G_SOCKET_TYPE_DATAGRAM, e.exclusive)) {
       if (!e.exclusive) return;
@@ -369,9 +378,10 @@
   }
   void carry_out(const StopListening& e) {
     for (auto& listener : listeners_) {
-      if (listener->concern != e.concern) continue;
+      if (listener->concern != e.concern || !listener->accepts_connections()) continue;
       listener->stopped = true;
       listener->source.end();
+      if (!listener->inherited) g_socket_close(listener->socket.get(), nullptr);
     }
   }
 
@@ -384,6 +394,7 @@
     }
     g_socket_set_blocking(socket.get(), FALSE);
     watch_listener(e, std::move(socket), G_SOCKET_TYPE_STREAM);
+    listeners_.back()->inherited = true;
   }
 
   void watch_listener(const Listen& e, GObjectPtr<GSocket> socket, GSocketType type) {
@@ -414,13 +425,21 @@
     if (socket != nullptr) {
       g_socket_set_blocking(socket.get(), FALSE);
       g_socket_set_listen_backlog(socket.get(), 512);
-      if (g_socket_bind(socket.get(), address.get(), exclusive ? FALSE : TRUE, &error) &&
+      // GLib's "reuse" lets several sockets receive the datagrams of one port.
+      const bool reuse = stream || (!exclusive && !wanted.wait_for_address);
+      if (g_socket_bind(socket.get(), address.get(), reuse ? TRUE : FALSE, &error) &&
           (!stream || g_socket_listen(socket.get(), &error))) {
         watch_listener(wanted, std::move(socket), type);
         return true;
       }
     }
-    if (exclusive && address != nullptr) {
+    const bool is_wait =
+        wanted.wait_for_address && g_error_matches(error, G_IO_ERROR, G_IO_ERROR_ADDRESS_IN_USE) != FALSE;
+    if (is_wait) {
+      awaited_addresses_.push_back({wanted, type});
+      arm(Timer{clock_now() + kAddressRetryInterval, ++timer_order_, {wanted.concern, kAddressTimer}});
+    }
+    if (is_wait || (exclusive && address != nullptr)) {
       g_clear_error(&error);
       return false;
     }
@@ -430,6 +449,14 @@
     return false;
   }
 
+  void retry_awaited_addresses() {
+    for (const AwaitedAddress& awaited : std::exchange(awaited_addresses_, {})) {
+      if (listen(awaited.listen, awaited.type))
+        logger_.line(Level::info,
+                     "listens on " + awaited.listen.address + ", which another process has freed");
+    }
+  }
+
   // Above the connection limit, or without a free descriptor, accepting pauses and new connections wait in
   // the listen queue. Accepting and closing them lost the callers' requests; leaving the listener watched
   // without a free descriptor made the loop spin.
@@ -559,6 +586,9 @@
   static constexpr std::uint64_t kCloseTimer = kConnectTimer | std::uint64_t{1} << 62;
   static constexpr std::uint64_t kAcceptTimer = kConnectTimer | std::uint64_t{1} << 61;
   static constexpr std::uint64_t kUnreadTimer = kConnectTimer | std::uint64_t{1} << 60;
+  static constexpr std::uint64_t kAddressTimer = kConnectTimer | std::uint64_t{1} << 59;
+  // Time between two tries to listen on an address that another process holds.
+  static constexpr Duration kAddressRetryInterval = std::chrono::milliseconds(20);
   // How long accepting pauses after a connection or descriptor limit was reached.
   static constexpr Duration kAcceptPause = std::chrono::milliseconds(10);
   // How long a closing connection may take to write its output and receive the peer's close. Closing the
@@ -723,8 +753,7 @@
       if (!c->out.empty() || (!c->closing && has_unread(*c))) return;
     }
     for (const auto& listener : listeners_) {
-      if (listener->stopped || g_socket_get_socket_type(listener->socket.get()) != G_SOCKET_TYPE_STREAM)
-        continue;
+      if (listener->stopped || !listener->accepts_connections()) continue;
       if ((g_socket_condition_check(listener->socket.get(), G_IO_IN) & G_IO_IN) != 0) return;
     }
     carry_out(Exit{e.status});
@@ -763,6 +792,10 @@
       const Time now = clock_now();
       if (timer.at > now) break;
       timers_.pop();
+      if (timer.key.number == kAddressTimer) {
+        retry_awaited_addresses();
+        continue;
+      }
       if (timer.key.number == kAcceptTimer) {
         resume_accepting(timer.key.concern);
         continue;
@@ -1025,6 +1058,7 @@
   std::optional<int> status_;
   std::map<ConnId, std::unique_ptr<Connection>> connections_;
   std::vector<std::unique_ptr<Listener>> listeners_;
+  std::vector<AwaitedAddress> awaited_addresses_;
   std::priority_queue<Timer, std::vector<Timer>, std::greater<>> timers_;
   std::uint64_t timer_order_ = 0;
   std::size_t outbound_ = 0;  // unwritten bytes of all connections
--- a/src/sip/transactions.cpp
+++ b/src/sip/transactions.cpp
@@ -327,6 +327,12 @@
   return key;
 }
 
+std::size_t Transactions::pending_byes() const {
+  return static_cast<std::size_t>(std::ranges::count_if(clients_, [](const auto& entry) {
+    return entry.second.request.method == "BYE" && entry.second.state != State::completed;
+  }));
+}
+
 void Transactions::stop_retransmitting(const Message& request) {
   if (const auto it = clients_.find(client_key(request)); it != clients_.end())
     it->second.timers.erase(Kind::retransmit);
--- a/src/sip/transactions.h
+++ b/src/sip/transactions.h
@@ -71,6 +71,8 @@
   // Handles a timer armed under its number; returns the timeouts for the transaction user.
   std::vector<TimerExpiry> handle_timer(Time now, std::uint64_t timer, Outbox& out);
   std::size_t size() const { return servers_.size() + clients_.size(); }
+  // Number of BYEs without a final response: no timeout has ended their transactions either.
+  std::size_t pending_byes() const;
 
  private:
   enum class State { trying, proceeding, completed, confirmed, accepted };
--- a/tests/sip_test.cpp
+++ b/tests/sip_test.cpp
@@ -42,8 +42,17 @@
   }
 };
 
+PlatformConfig config_with_inherited_socket() {
+  PlatformConfig config = config_for_tests();
+  config.inherited_socket = 7;
+  return config;
+}
+
 struct SipLab : GatekeeperLab {
-  explicit SipLab(int servers = 2) : GatekeeperLab(config_for_tests(servers), deploy_for_tests()) {
+  explicit SipLab(int servers = 2) : SipLab(config_for_tests(servers)) {}
+  explicit SipLab(const PlatformConfig& config)
+      : GatekeeperLab(config, deploy_for_tests()) {
+    const std::size_t servers = connects.size();
     s0 = connects.at(0).conn;
     if (servers > 1) s1 = connects.at(1).conn;
     bring_up();
@@ -132,6 +141,53 @@
   CHECK(lab.messages_to_caller().empty());
 }
 
+// Guards against two processes that hold the UDP address at once, among which the kernel divides the callers
+// in the middle of their dialogs: in an upgrade the new process waits for the address, and the old one, which
+// knows the dialogs, keeps it until they have ended and its BYEs are confirmed.
+void old_process_keeps_its_dialogs_in_an_upgrade() {
+  SipLab lab(config_with_inherited_socket());
+  CHECK_EQ(lab.binds.size(), 1U);
+  CHECK(lab.binds.front().wait_for_address);
+  const auto listens = std::count_if(lab.listens.begin(), lab.listens.end(), [](const net::Listen& l) {
+    return l.concern == Concern::sip && l.wait_for_address;
+  });
+  CHECK_EQ(listens, 1);
+  Caller caller;
+  lab.establish(caller);
+  lab.deliver(net::StopRequested{});
+  CHECK_EQ(std::count(lab.stopped_listening.begin(), lab.stopped_listening.end(), Concern::sip), 1);
+  lab.receive(lab.server_conn, server_bye(std::string(lab.invite.header("Call-ID")), 16));
+  lab.advance(100ms);
+  CHECK(!lab.exit_status);  // its BYE waits for the ACK
+  lab.messages_to_caller();
+  lab.acknowledge(caller);
+  const sip::Message bye = lab.only_message();
+  CHECK_EQ(bye.method, "BYE");
+  lab.advance(100ms);
+  CHECK(!lab.exit_status);  // lost datagrams are sent again
+  lab.udp(sip::answer_to(bye, 200, "OK", {}).text());
+  lab.advance(100ms);
+  CHECK(lab.exit_status == 0);
+}
+
+// Guards against an exit before a BYE is confirmed, also without a successor.
+void unconfirmed_bye_delays_the_exit() {
+  SipLab lab;
+  Caller caller;
+  lab.establish(caller);
+  lab.acknowledge(caller);
+  lab.deliver(net::StopRequested{});
+  lab.advance(800ms);
+  lab.receive(lab.server_conn, server_bye(std::string(lab.invite.header("Call-ID")), 16));
+  const sip::Message bye = lab.only_message();
+  lab.advance(1s);
+  CHECK(!lab.exit_status);
+  CHECK(!lab.messages_to_caller().empty());
+  lab.udp(sip::answer_to(bye, 200, "OK", {}).text());
+  lab.advance(100ms);
+  CHECK(lab.exit_status == 0);
+}
+
 void caller_releases_a_call() {
   SipLab lab;
   Caller caller;
@@ -545,6 +601,8 @@
 int main() {
   stream_without_a_complete_message_is_closed();
   udp_call_is_established_and_released_by_the_server();
+  old_process_keeps_its_dialogs_in_an_upgrade();
+  unconfirmed_bye_delays_the_exit();
   caller_releases_a_call();
   answer_is_retransmitted_until_the_ack();
   call_without_an_ack_is_released();
