SIP ids of two processes that read one configuration differ

Need: the SIP front end, the trunk, load control and OTLP drew their ids from the configuration's seed alone, so two processes with one configuration sent the same Call-IDs, tags and branches. DEPLOY has a new seed with each start; an operator's restart or upgrade with the file as it was gets none. A setup server then takes the call of a SIP caller for one of before that is still established there, and its release for that call's.

Change: the generators start from the seed and the time of the start.

--- a/src/core/random_id.h
+++ b/src/core/random_id.h
@@ -5,11 +5,16 @@
 #include <cstdint>
 #include <string>
 
+#include "graniterun/controller.h"
+
 namespace graniterun {
 
 class RandomIdGenerator {
  public:
   explicit RandomIdGenerator(std::uint64_t seed) : state_(seed) {}
+  // For ids that peers remember: a process that starts later with the same seed generates others.
+  RandomIdGenerator(std::uint64_t seed, Time start)
+      : state_(seed + static_cast<std::uint64_t>(start.time_since_epoch().count())) {}
   std::string next() {  // SplitMix64
     std::uint64_t z = (state_ += 0x9e3779b97f4a7c15U);
     z = (z ^ (z >> 30)) * 0xbf58476d1ce4e5b9U;
--- a/src/downstream/load_control.cpp
+++ b/src/downstream/load_control.cpp
@@ -34,10 +34,7 @@
 }  // namespace
 
 LoadControl::LoadControl(LoadControlSettings settings, sip::Transactions& transactions, Counters& counters)
-    : settings_(std::move(settings)),
-      transactions_(transactions),
-      counters_(counters),
-      ids_(settings_.seed * 5 + 3) {
+    : settings_(std::move(settings)), transactions_(transactions), counters_(counters), ids_(settings_.seed) {
   for (const std::string& address : settings_.neighbours) {
     Neighbour neighbour;
     neighbour.address = address;
@@ -317,6 +314,8 @@
 
 // ---- ticks
 
+void LoadControl::start(Time now) { ids_ = RandomIdGenerator(settings_.seed * 5 + 3, now); }
+
 void LoadControl::tick(Time now, Outbox& out) {
   for (auto it = subscriptions_.begin(); it != subscriptions_.end();) {
     Subscription& subscription = it->second;
--- a/src/downstream/load_control.h
+++ b/src/downstream/load_control.h
@@ -52,6 +52,7 @@
   // Handles the timeout of such a request (timer F).
   void handle_request_timeout(Time now, const std::string& transaction);
   // Expires subscriptions, sends NOTIFYs after a change of the gaps, and refreshes own subscriptions.
+  void start(Time now);  // before the first request or response
   void tick(Time now, Outbox& out);
 
  private:
--- a/src/downstream/sip.cpp
+++ b/src/downstream/sip.cpp
@@ -118,7 +118,9 @@
                     transactions_, counters),
       ids_(settings_.seed) {}
 
-void Sip::start(Time now, Outbox& out) const {
+void Sip::start(Time now, Outbox& out) {
+  ids_ = RandomIdGenerator(settings_.seed, now);
+  load_control_.start(now);
   if (settings_.tcp || settings_.udp) out.arm(net::Concern::sip, kReapTimer, now + kReapInterval);
   if (settings_.udp) {
     net::Bind bind{net::Concern::sip, *settings_.udp};
--- a/src/downstream/sip.h
+++ b/src/downstream/sip.h
@@ -41,7 +41,7 @@
  public:
   Sip(SipFrontSettings settings, Counters& counters);
 
-  void start(Time now, Outbox& out) const;
+  void start(Time now, Outbox& out);
   void on(Time now, const net::Accepted& event, Outbox& out);
   void on(Time now, const net::Connected& event, Outbox& out);
   void on(Time now, const net::ConnectFailed& event, Outbox& out);
--- a/src/otlp/exporter.cpp
+++ b/src/otlp/exporter.cpp
@@ -40,6 +40,7 @@
 
 void Exporter::start(Time now, Outbox& out) {
   started_ = now;
+  ids_ = RandomIdGenerator(~settings_.seed, now);
   if (settings_.collector) out.arm(net::Concern::collector, 0, now + settings_.interval);
 }
 
--- a/src/upstream/sip_trunk.cpp
+++ b/src/upstream/sip_trunk.cpp
@@ -72,9 +72,10 @@
       directory_(std::move(areas)),
       transport_(net::Concern::trunk, counters),
       transactions_(net::Concern::trunk, transport_, counters),
-      ids_(settings_.seed * 3 + 1) {}
+      ids_(settings_.seed) {}
 
 void SipTrunk::start(Time now, Outbox& out) {
+  ids_ = RandomIdGenerator(settings_.seed * 3 + 1, now);
   if (settings_.reliable) {
     out.net.push_back(net::Listen{net::Concern::trunk, settings_.address});
   } else {
--- a/tests/lab.h
+++ b/tests/lab.h
@@ -68,10 +68,13 @@
          R"(;width:1;via:-1"},"sdp":")" + sdp + R"("})" + "\n";
 }
 
+constexpr Time kLabStart{1'000'000s};
+
 class GatekeeperLab {
  public:
-  explicit GatekeeperLab(const PlatformConfig& config = config_for_tests(), const DeployConfig& deploy = {})
-      : gatekeeper(config, deploy, {}) {
+  explicit GatekeeperLab(const PlatformConfig& config = config_for_tests(), const DeployConfig& deploy = {},
+                         Time start = kLabStart)
+      : now(start), gatekeeper(config, deploy, {}) {
     deliver(net::Started{});
   }
 
@@ -186,7 +189,7 @@
     return all;
   }
 
-  Time now{1'000'000s};
+  Time now;
   Gatekeeper gatekeeper;
   std::vector<net::Connect> connects;
   std::map<ConnId, std::string> sent;
--- a/tests/sip_test.cpp
+++ b/tests/sip_test.cpp
@@ -50,8 +50,8 @@
 
 struct SipLab : GatekeeperLab {
   explicit SipLab(int servers = 2) : SipLab(config_for_tests(servers)) {}
-  explicit SipLab(const PlatformConfig& config)
-      : GatekeeperLab(config, deploy_for_tests()) {
+  explicit SipLab(const PlatformConfig& config, Time start = kLabStart)
+      : GatekeeperLab(config, deploy_for_tests(), start) {
     const std::size_t servers = connects.size();
     s0 = connects.at(0).conn;
     if (servers > 1) s1 = connects.at(1).conn;
@@ -141,6 +141,18 @@
   CHECK(lab.messages_to_caller().empty());
 }
 
+// Guards against ids that repeat after a restart: a setup server would take the call of a SIP caller for one
+// of before that is still established there, and its release for that call's.
+void ids_do_not_repeat_after_a_restart() {
+  std::set<std::string> call_ids;
+  for (int start = 0; start < 3; ++start) {
+    SipLab lab(config_for_tests(), kLabStart + 1s * start);
+    lab.udp(Caller().text("INVITE", 1, "offer"));
+    call_ids.insert(std::string(lab.take_invite().second.header("Call-ID")));
+  }
+  CHECK_EQ(call_ids.size(), 3U);
+}
+
 // Guards against two processes that hold the UDP address at once, among which the kernel divides the callers
 // in the middle of their dialogs: in an upgrade the new process waits for the address, and the old one, which
 // knows the dialogs, keeps it until they have ended and its BYEs are confirmed.
@@ -601,6 +613,7 @@
 int main() {
   stream_without_a_complete_message_is_closed();
   udp_call_is_established_and_released_by_the_server();
+  ids_do_not_repeat_after_a_restart();
   old_process_keeps_its_dialogs_in_an_upgrade();
   unconfirmed_bye_delays_the_exit();
   caller_releases_a_call();
--- a/tests/trunk_test.cpp
+++ b/tests/trunk_test.cpp
@@ -18,8 +18,9 @@
 }
 
 struct TrunkLab : GatekeeperLab {
-  explicit TrunkLab(const std::string& transport = "udp", const PlatformConfig& config = config_for_tests())
-      : GatekeeperLab(config, deploy(transport)) {
+  explicit TrunkLab(const std::string& transport = "udp", const PlatformConfig& config = config_for_tests(),
+                    Time start = kLabStart)
+      : GatekeeperLab(config, deploy(transport), start) {
     deliver(net::Accepted{kCaller});
   }
   void call(int time_left_ms = 3000, const std::string& id = "00000000000000aa") {
@@ -131,6 +132,22 @@
   CHECK(lab.lines(kCaller).empty());
 }
 
+// Guards against ids that repeat after a restart: a server would take a new INVITE for a repeat of an old
+// one, or the release of a standing call for that of a new one.
+void ids_do_not_repeat_after_a_restart() {
+  std::set<std::string> branches;
+  std::set<std::string> tags;
+  for (int start = 0; start < 3; ++start) {
+    TrunkLab lab("udp", config_for_tests(), kLabStart + 1s * start);
+    lab.call();
+    const sip::Message invite = lab.take_one();
+    branches.insert(std::string(invite.header("Via")));
+    tags.insert(std::string(invite.header("From")));
+  }
+  CHECK_EQ(branches.size(), 3U);
+  CHECK_EQ(tags.size(), 3U);
+}
+
 void rejection_is_acknowledged_and_call_is_retried_elsewhere() {
   TrunkLab lab;
   lab.call();
@@ -591,6 +608,7 @@
   bye_for_attempt_with_lost_connection_ends_call();
   call_is_established_and_released_by_caller();
   server_releases_call();
+  ids_do_not_repeat_after_a_restart();
   rejection_is_acknowledged_and_call_is_retried_elsewhere();
   late_success_is_released();
   no_cancel_before_provisional_response();
