--- a/src/gatekeeper/gatekeeper.cpp
+++ b/src/gatekeeper/gatekeeper.cpp
@@ -101,7 +101,7 @@
   }
   if (deploy.sip_server_transport != "platform") {
     trunk_.emplace(upstream::SipTrunkSettings{deploy.sip_server_transport == "tcp", deploy.sip_servers_from,
-                                              config.seed},
+                                              config.seed, config.name, config.inherited_socket.has_value()},
                    config.areas, counters_);
   }
   connect_parts();
@@ -374,6 +374,7 @@
     out.net.push_back(net::StopListening{net::Concern::platform});
     platform_.begin_handover(now, now + answers_due_after_stop() - kHandoverCloseWindow, out);
     sip_.begin_handover(out);
+    if (trunk_) trunk_->begin_handover(out);
   }
   out.arm(net::Concern::process, 0, now + kShutdownCheckInterval);
 }
@@ -493,7 +494,7 @@
   const bool calls_ended = config_.inherited_socket
                                ? platform_.connection_count() == 0 && sip_.call_count() == 0
                                : platform_.unassigned_releases() == 0;
-  return calls_ended && sip_.pending_byes() == 0;
+  return calls_ended && sip_.pending_byes() == 0 && (!trunk_ || trunk_->pending_byes() == 0);
 }
 
 void Gatekeeper::request_exit(const net::Effect& end, Outbox& out) {
--- a/src/upstream/sip_trunk.cpp
+++ b/src/upstream/sip_trunk.cpp
@@ -1,5 +1,6 @@
 #include "upstream/sip_trunk.h"
 
+#include "codec/jsonl.h"
 #include "core/q850.h"
 #include "upstream/server_messages.h"
 
@@ -15,6 +16,8 @@
 // How long a finished attempt is retained to match late messages. A success that came later would be a
 // retransmission of one sent 64 T1 before.
 constexpr Duration kFinishedRetention = 2 * sip::k64T1;
+// Maximum number of released calls of other processes that are retained to recognize repeated BYEs.
+constexpr std::size_t kMaxFormerCallsReleased = 8192;
 // By how much a deadline that is sent to a server may exceed the caller's.
 constexpr std::chrono::milliseconds kExpiresSlack{150};
 
@@ -72,18 +75,26 @@
       directory_(std::move(areas)),
       transport_(net::Concern::trunk, counters),
       transactions_(net::Concern::trunk, transport_, counters),
-      ids_(settings_.seed) {}
+      ids_(settings_.seed),
+      tags_(settings_.gatekeeper + " at " + settings_.address),
+      former_calls_released_(sip::k64T1, kMaxFormerCallsReleased) {}
 
 void SipTrunk::start(Time now, Outbox& out) {
   ids_ = RandomIdGenerator(settings_.seed * 3 + 1, now);
   if (settings_.reliable) {
-    out.net.push_back(net::Listen{net::Concern::trunk, settings_.address});
+    net::Listen listen{net::Concern::trunk, settings_.address};
+    listen.wait_for_address = settings_.wait_for_address;
+    out.net.push_back(listen);
   } else {
     out.net.push_back(net::Bind{net::Concern::trunk, settings_.address});
   }
   out.arm(net::Concern::trunk, kTickTimer, now + kTickInterval);
 }
 
+void SipTrunk::begin_handover(Outbox& out) const {
+  if (settings_.reliable) out.net.push_back(net::StopListening{net::Concern::trunk});
+}
+
 void SipTrunk::handle_endpoints(Time now, const EndpointList& list, ListKind kind, Outbox& out) {
   ServerList update;
   update.kind = kind;
@@ -259,7 +270,7 @@
   message.uri = "sip:" + request.number_text + "@" + endpoint->second.address;
   message.add("Via", make_via());
   message.add("Max-Forwards", "70");
-  message.add("From", "<sip:graniterun@" + settings_.address + ">;tag=" + ids_.next());
+  message.add("From", "<sip:graniterun@" + settings_.address + ">;tag=" + tags_.make(call_id, ids_.next()));
   message.add("To", "<" + message.uri + ">");
   message.add("Call-ID", call_id);
   message.add("CSeq", "1 INVITE");
@@ -473,7 +484,13 @@
   if (in_known_dialog) watch_.confirmed(now, attempt->server, std::string(message.header("Call-ID")));
   if (message.method == "OPTIONS") return respond(200);
   if (message.method == "CANCEL") return respond(481);
-  if (!in_known_dialog) return respond(sip::parameter(message.header("To"), "tag").empty() ? 405 : 481);
+  if (!in_known_dialog) {
+    if (const std::string former_call = find_former_call(message); !former_call.empty()) {
+      respond(200);
+      return release_former_call(now, former_call, message, out);
+    }
+    return respond(sip::parameter(message.header("To"), "tag").empty() ? 405 : 481);
+  }
   if (message.method != "BYE") return respond(message.method == "INVITE" ? 488 : 501);
   respond(200);
   counters_.add("trunk.byes_in");
@@ -494,6 +511,26 @@
   finish_attempt(now, *attempt, finished, out);
 }
 
+// The correlation id of the call that a BYE ends, where another process of this gatekeeper, which has ended
+// or shares the address, opened the dialog; empty for any other request. The Call-ID names the call and this
+// address, and the tag shows that this gatekeeper chose it for that Call-ID.
+std::string SipTrunk::find_former_call(const sip::Message& message) const {
+  const std::string_view call_id = message.header("Call-ID");
+  const std::string_view correlation_id = call_id.substr(0, call_id.find('-'));
+  if (message.method != "BYE" || !jsonl::is_id(correlation_id)) return {};
+  if (!call_id.ends_with("@" + settings_.address)) return {};
+  if (!tags_.is_own(call_id, sip::parameter(message.header("To"), "tag"))) return {};
+  return std::string(correlation_id);
+}
+
+void SipTrunk::release_former_call(Time now, const std::string& correlation_id, const sip::Message& bye,
+                                   Outbox& out) {
+  counters_.add("trunk.byes_of_former_process");
+  out.debug(now, [&] { return "bye_of_former_process call=" + correlation_id; });
+  if (!former_calls_released_.insert(now, std::string(bye.header("Call-ID")))) return;
+  out.notify_broker(core::ServerReleased{correlation_id, parse_q850_cause(bye.header("Reason")), false});
+}
+
 // ---- helpers
 
 void SipTrunk::log_sent(Time now, std::string_view event, const UpstreamAttempt& attempt, Outbox& out) {
--- a/src/upstream/sip_trunk.h
+++ b/src/upstream/sip_trunk.h
@@ -12,17 +12,22 @@
 #include "core/counters.h"
 #include "core/deadline_queue.h"
 #include "core/random_id.h"
+#include "core/recent_ids.h"
 #include "net/outbox.h"
 #include "sip/transactions.h"
+#include "upstream/dialog_tag.h"
 #include "upstream/dialog_watch.h"
 #include "upstream/directory.h"
 
 namespace graniterun::upstream {
 
 struct SipTrunkSettings {
-  bool reliable{};        // TCP instead of UDP
-  std::string address{};  // local ip:port, from which it sends and at which servers reach it
-  std::uint64_t seed{};   // of tags and branches
+  bool reliable{};           // TCP instead of UDP
+  std::string address{};     // local ip:port, from which it sends and at which servers reach it
+  std::uint64_t seed{};      // of tags and branches
+  std::string gatekeeper{};  // its name, the same after a restart
+  bool
+      wait_for_address{};  // over TCP: another process of this gatekeeper may hold the address until it stops
 };
 
 class SipTrunk {
@@ -44,8 +49,13 @@
   void apply(Time now, const core::AbandonAttempt& event, Outbox& out);
   void apply(Time now, const core::ReleaseServer& event, Outbox& out);
 
+  // Called when another process of this gatekeeper takes over: over TCP, frees the address for it.
+  void begin_handover(Outbox& out) const;
+
   // Number of endpoints that are not terminated, including draining ones.
   std::size_t endpoint_count() const;
+  // Number of BYEs to servers without a final response.
+  std::size_t pending_byes() const { return transactions_.pending_byes(); }
   // Whether an endpoint is in service.
   bool ready() const;
   // The endpoint's uid, or "unknown".
@@ -80,6 +90,8 @@
   void handle_response(Time now, const sip::Message& message, Outbox& out);
   void handle_invite_success(Time now, UpstreamAttempt& attempt, const sip::Message& message, Outbox& out);
   void handle_request(Time now, const sip::Flow& flow, const sip::Message& message, Outbox& out);
+  std::string find_former_call(const sip::Message& message) const;
+  void release_former_call(Time now, const std::string& correlation_id, const sip::Message& bye, Outbox& out);
   void finish_attempt(Time now, UpstreamAttempt& attempt, core::AttemptFinished finished, Outbox& out);
   void send_cancel(Time now, UpstreamAttempt& attempt, Outbox& out);
   void withdraw_invite(Time now, Attempts::iterator it, Outbox& out);
@@ -115,6 +127,8 @@
   std::uint64_t last_ticket_ = 0;
   DeadlineQueue<std::string> state_deadlines_;  // ends of the states `abandoned` and `finished`, by Call-ID
   RandomIdGenerator ids_;
+  DialogTag tags_;
+  RecentIds former_calls_released_;  // Call-IDs
 };
 
 }  // namespace graniterun::upstream
--- a/tests/trunk_test.cpp
+++ b/tests/trunk_test.cpp
@@ -132,6 +132,70 @@
   CHECK(lab.lines(kCaller).empty());
 }
 
+// Guards against a release that is answered 481 and reaches no caller: the process that gets the BYE was
+// restarted since the call was set up, or is the other one of an upgrade. No record of the call is left, so
+// only a BYE whose tag this gatekeeper made for its Call-ID counts.
+void bye_of_a_call_of_a_former_process_is_forwarded() {
+  TrunkLab former;
+  former.call();
+  const sip::Message invite = former.take_one();
+  former.receive_from(kServers[0], answer(invite, 200, kContact, "answer"));
+
+  PlatformConfig config = config_for_tests();
+  config.seed += 1;  // new with each start
+  TrunkLab lab("udp", config);
+  lab.call(3000, "00000000000000bb");
+  lab.take_one();
+  const std::string request = bye(invite);
+  const std::string tag(sip::parameter(invite.header("From"), "tag"));
+  const std::string other_tag = tag.substr(0, tag.size() - 1) + (tag.ends_with('0') ? '1' : '0');
+  int branch = 0;
+  // The BYE with a text replaced, in a transaction of its own.
+  const auto changed = [&](const std::string& from, const std::string& to) {
+    std::string text = request;
+    text.replace(text.find(from), from.size(), to);
+    return text.replace(text.find("z9hG4bKs"), 8, "z9hG4bKs" + std::to_string(++branch));
+  };
+  for (const std::string& forged :
+       {changed(tag, other_tag), changed(";tag=" + tag, ""),
+        changed("00000000000000aa-", "00000000000000ab-"),
+        changed("Call-ID: 00000000000000aa-", "Call-ID: x-"), changed("BYE sip:", "INFO sip:"),
+        changed("@127.0.0.1:5070\r\nCSeq", "@127.0.0.1:5071\r\nCSeq")}) {
+    lab.receive_from(kServers[0], forged);
+    CHECK(lab.take_one().status >= 400);
+    CHECK(lab.lines(kCaller).empty());
+  }
+  lab.receive_from(kServers[0], request);
+  CHECK_EQ(lab.take_one().status, 200);
+  const jsonl::Message release = lab.lines(kCaller).at(0);
+  CHECK_EQ(release.type, "release");
+  CHECK_EQ(release.id, "00000000000000aa");
+  CHECK_EQ(*release.cause, 16);
+  // A repeat, also in a new transaction, gets the same response and has no second effect.
+  for (const std::string& repeat : {request, changed("1 BYE", "2 BYE")}) {
+    lab.receive_from(kServers[0], repeat);
+    CHECK_EQ(lab.take_one().status, 200);
+    CHECK(lab.lines(kCaller).empty());
+  }
+}
+
+// The same over TCP, on a connection that the server opens to the Contact.
+void bye_over_tcp_of_a_call_of_a_former_process_is_forwarded() {
+  TrunkLab former("tcp");
+  former.call();
+  const ConnId up = former.bring_up(kServers[0]).at(0);
+  const sip::Message invite = former.messages(up).at(0);
+  TrunkLab lab("tcp");
+  const ConnId accepted{Concern::trunk, 1};
+  lab.deliver(net::Accepted{accepted});
+  std::string request = bye(invite);
+  request.replace(request.find("SIP/2.0/UDP"), 11, "SIP/2.0/TCP");
+  lab.receive(accepted, request);
+  CHECK_EQ(lab.messages(accepted).at(0).status, 200);
+  const jsonl::Message release = lab.lines(kCaller).at(0);
+  CHECK(release.type == "release" && release.id == "00000000000000aa");
+}
+
 // Guards against ids that repeat after a restart: a server would take a new INVITE for a repeat of an old
 // one, or the release of a standing call for that of a new one.
 void ids_do_not_repeat_after_a_restart() {
@@ -608,6 +672,8 @@
   bye_for_attempt_with_lost_connection_ends_call();
   call_is_established_and_released_by_caller();
   server_releases_call();
+  bye_of_a_call_of_a_former_process_is_forwarded();
+  bye_over_tcp_of_a_call_of_a_former_process_is_forwarded();
   ids_do_not_repeat_after_a_restart();
   rejection_is_acknowledged_and_call_is_retried_elsewhere();
   late_success_is_released();
