Endpoint list: a start time after the year 2100 is an error of the list, not an overflow

Test: retune (start_time_out_of_range_is_rejected) failed on the code before (the list was accepted).

--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -78,7 +78,8 @@
   out.merge(common);
 }
 
-constexpr double kMaxTimeoutNs = 86'400e9;  // a day
+constexpr std::int64_t kMaxUnixMs = 4'102'444'800'000;  // the year 2100; Time holds nanoseconds
+constexpr double kMaxTimeoutNs = 86'400e9;              // a day
 constexpr double kMaxAttempts = 1000;
 
 // Throws ConfigError unless the value is a JSON number above 0 and at most `max`; text or null is rejected.
@@ -176,8 +177,9 @@
                        : state == "draining" ? ServerState::terminating
                                              : ServerState::terminated;
       endpoint.weight = target.value("capacity_hint", 1.0);
-      if (const auto ms = target.value("boot_ms", std::int64_t{0}); ms > 0)
-        endpoint.started = Time(std::chrono::milliseconds(ms));
+      const auto ms = target.value("boot_ms", std::int64_t{0});
+      if (ms > kMaxUnixMs) throw ConfigError("'boot_ms' is after the year 2100");
+      if (ms > 0) endpoint.started = Time(std::chrono::milliseconds(ms));
       result.endpoints.push_back(std::move(endpoint));
     }
     return result;
--- a/tests/retune_test.cpp
+++ b/tests/retune_test.cpp
@@ -150,6 +150,20 @@
   CHECK_EQ(error_of(nested), "the configuration is deeper than 64 objects and lists");
 }
 
+// Guards against an integer overflow in a list that the journal service has spoilt.
+void start_time_out_of_range_is_rejected() {
+  json f = file_with_two_servers();
+  json& target = f["known"]["entries"][0]["hosts"]["targets"][0];
+  target["boot_ms"] = 4'000'000'000'000'000'000;
+  bool rejected = false;
+  try {
+    read_platform_config(f.dump());
+  } catch (const ConfigError&) {
+    rejected = true;
+  }
+  CHECK(rejected);
+}
+
 void open_calls_keep_class_and_attempt_limit() {
   ReloadLab lab;
   CHECK(lab.call("00000000000000aa", "voice").empty());
@@ -265,6 +279,7 @@
   invalid_files_are_rejected_completely();
   integers_may_be_written_as_floating_point();
   error_text_is_one_line_with_position();
+  start_time_out_of_range_is_rejected();
   open_calls_keep_class_and_attempt_limit();
   ten_reloads_in_a_second_with_the_last_one_invalid();
   class_indexes_stay_valid_in_random_steps();
