Test runtime: little output behind small buffers, not 16 MiB through the kernel

They need output that is not written yet, not megabytes.

Change: both sockets get buffers of 16 KiB (SO_SNDBUF, SO_RCVBUF; the runtime's own socket is found by its peer's port), and the output is 512 KiB. All checks are as before.

Checked that they still fail: with WithdrawSend ignored, `withdrawn_second does not hold`; with ExitIfIdle blind to unwritten output, `exit_deferred does not hold`. That the kernel's pace was the cause of the 20 s stays a guess.

--- a/tests/runtime_test.cpp
+++ b/tests/runtime_test.cpp
@@ -351,18 +351,37 @@
   CHECK_EQ(runtime.counters().overflowed, 1U);
 }
 
+// The runtime's socket that is connected to the given port.
+int find_runtime_socket(int peer_port) {
+  constexpr int kMaxDescriptors = 1024;
+  for (int descriptor = 0; descriptor < kMaxDescriptors; ++descriptor) {
+    sockaddr_in peer{};
+    socklen_t size = sizeof peer;
+    const bool connected = ::getpeername(descriptor, reinterpret_cast<sockaddr*>(&peer), &size) == 0;
+    if (connected && peer.sin_family == AF_INET && ntohs(peer.sin_port) == peer_port) return descriptor;
+  }
+  return -1;
+}
+
+// Limits what the kernel takes of output that the peer does not read, far below kUnreadBytes.
+void set_small_buffer(int descriptor, int option) {
+  const int bytes = 16 * 1024;
+  CHECK(::setsockopt(descriptor, SOL_SOCKET, option, &bytes, sizeof bytes) == 0);
+}
+constexpr std::size_t kUnreadBytes = 512 * 1024;
+
 // A message queued behind unwritten output can be withdrawn; if any byte of it is written it can't, and the
 // fallback is sent.
 void unwritten_message_can_be_withdrawn() {
   const Socket listening = Socket::bound(SOCK_STREAM);
+  set_small_buffer(listening.descriptor(), SO_RCVBUF);
   net::RuntimeLimits limits;
-  limits.max_outbound_bytes = limits.max_total_outbound_bytes = 64 * 1024 * 1024;
+  limits.max_outbound_bytes = limits.max_total_outbound_bytes = 2 * kUnreadBytes;
   net::Runtime runtime(limits, net::Logger(net::Level::error));
   const net::ConnId conn{net::Concern::server, 1};
   Socket server;
   std::string received_text;
   bool withdrawn_second = false;
-  const std::size_t padding = 16 * 1024 * 1024;
   const int status = runtime.run([&](Time now, const net::Event& event, net::Effects& effects) {
     if (std::holds_alternative<net::Started>(event)) {
       arm_test_timeout(now, effects);
@@ -372,12 +391,13 @@
       effects.push_back(net::Exit{1});
     } else if (std::holds_alternative<net::Connected>(event)) {
       server = listening.accept();
+      set_small_buffer(find_runtime_socket(listening.port()), SO_SNDBUF);
       effects.push_back(net::Send{conn, "<first>", 1});  // written at once
       effects.push_back(net::ArmTimer{{net::Concern::server, 0}, now});
     } else if (const auto* e = std::get_if<net::TimerFired>(&event)) {
       if (e->key.number == 0) {
         effects.push_back(net::WithdrawSend{conn, 1, "<cancel first>"});
-        effects.push_back(net::Send{conn, std::string(padding, 'x')});
+        effects.push_back(net::Send{conn, std::string(kUnreadBytes, 'x')});
         effects.push_back(net::Send{conn, "<second>", 2});
         effects.push_back(net::Send{conn, "<third>", 3});
         effects.push_back(net::ArmTimer{{net::Concern::server, 1}, now});
@@ -398,7 +418,7 @@
   });
   CHECK_EQ(status, 0);
   CHECK(withdrawn_second);
-  CHECK(received_text == "<first><cancel first>" + std::string(padding, 'x') + "<third><end>");
+  CHECK(received_text == "<first><cancel first>" + std::string(kUnreadBytes, 'x') + "<third><end>");
   CHECK_EQ(runtime.counters().counted_written, 2U);
   CHECK_EQ(runtime.counters().withdrawn, 1U);
 }
@@ -482,9 +502,8 @@
 void exit_waits_for_unwritten_output() {
   const int port = Socket::bound(SOCK_STREAM).port();
   net::RuntimeLimits limits;
-  limits.max_outbound_bytes = limits.max_total_outbound_bytes = 64 * 1024 * 1024;
+  limits.max_outbound_bytes = limits.max_total_outbound_bytes = 2 * kUnreadBytes;
   net::Runtime runtime(limits, net::Logger(net::Level::error));
-  constexpr std::size_t kAnswerBytes = 16 * 1024 * 1024;
   Socket caller;
   std::size_t got = 0;
   bool exit_deferred = false;
@@ -493,6 +512,7 @@
     if (const auto* e = std::get_if<net::TimerFired>(&event)) {
       if (e->key.number == 0) {
         caller = Socket::connected(port);
+        set_small_buffer(caller.descriptor(), SO_RCVBUF);
         return;
       }
       exit_deferred = got > 0;
@@ -500,14 +520,15 @@
       effects.push_back(net::ExitIfIdle{0});
       effects.push_back(net::ArmTimer{{net::Concern::platform, 1}, now + std::chrono::milliseconds(1)});
     } else if (const auto* accepted = std::get_if<net::Accepted>(&event)) {
-      effects.push_back(net::Send{accepted->conn, std::string(kAnswerBytes, 'x')});
+      set_small_buffer(find_runtime_socket(caller.port()), SO_SNDBUF);
+      effects.push_back(net::Send{accepted->conn, std::string(kUnreadBytes, 'x')});
       effects.push_back(net::ExitIfIdle{0});
       effects.push_back(net::ArmTimer{{net::Concern::platform, 1}, now + std::chrono::milliseconds(1)});
     }
   });
   CHECK_EQ(status, 0);
   CHECK(exit_deferred);
-  CHECK_EQ(caller.read_bytes(kAnswerBytes - got).size(), kAnswerBytes - got);
+  CHECK_EQ(caller.read_bytes(kUnreadBytes - got).size(), kUnreadBytes - got);
 }
 
 // ExitIfIdle does nothing with unread input on an open connection or a new connection not accepted yet.
