Tests: ports of programs that start later stay reserved

Change: Socket::reserved() binds with SO_REUSEADDR and does not listen. The kernel gives the port to nobody else, while the program, which binds with SO_REUSEADDR too, may listen there. free_port() keeps its reservations for the life of the test. UDP ports of the fleet fixture stay as they were: an exclusive bind would meet the reservation.

--- a/lab/fleet_rig.cpp
+++ b/lab/fleet_rig.cpp
@@ -183,11 +183,17 @@
 
 namespace {
 
-std::vector<int> free_ports(std::size_t count, int type) {
+std::vector<int> free_ports(std::size_t count) {
+  std::vector<int> ports;
+  for (std::size_t i = 0; i < count; ++i) ports.push_back(test::free_port());
+  return ports;
+}
+
+std::vector<int> free_udp_ports(std::size_t count) {
   std::vector<test::Socket> sockets;
   std::vector<int> ports;
   for (std::size_t i = 0; i < count; ++i) {
-    sockets.push_back(test::Socket::bound(type));
+    sockets.push_back(test::Socket::bound(SOCK_DGRAM));
     ports.push_back(sockets.back().port());
   }
   return ports;
@@ -200,9 +206,9 @@
     : binary_(std::move(binary)),
       seed_(seed),
       edit_(std::move(edit)),
-      listen_ports_(free_ports(size, SOCK_STREAM)),
-      fleet_ports_(free_ports(size, SOCK_DGRAM)),
-      control_ports_(free_ports(size, SOCK_STREAM)),
+      listen_ports_(free_ports(size)),
+      fleet_ports_(free_udp_ports(size)),
+      control_ports_(free_ports(size)),
       programs_(size),
       relay_(fleet_ports_, seed) {
   const char* dir = ::getenv("TMPDIR");
@@ -256,7 +262,7 @@
 // The new process has a control port of its own, as on the platform, where it has a second address.
 void ClusterFixture::start_successor(std::size_t i) {
   replaced_.push_back(std::move(programs_.at(i)));
-  control_ports_[i] = free_ports(1, SOCK_STREAM)[0];
+  control_ports_[i] = test::free_port();
   programs_.at(i) = launch(i, callers_socket_.descriptor());
   {
     const std::lock_guard lock(mutex_);
--- a/tests/configuration_process_test.cpp
+++ b/tests/configuration_process_test.cpp
@@ -214,20 +214,14 @@
     std::filesystem::create_directories(dir_);
     std::ofstream(dir_ + "/key") << std::string(32, 'a') << std::string(32, '7') << '\n';
     ::chmod((dir_ + "/key").c_str(), 0600);
-    std::vector<Socket> reserved;  // stay bound until all ports are chosen, so that no two are equal
-    const auto port = [&reserved] {
-      reserved.push_back(Socket::bound(SOCK_STREAM));
-      return reserved.back().port();
-    };
-    for (Distributor& d : distributors_) d.port = port();
+    for (Distributor& d : distributors_) d.port = free_port();
     for (Gatekeeper& gatekeeper : gatekeepers_)
-      gatekeeper.listen = port(), gatekeeper.control = port(), gatekeeper.management = port();
+      gatekeeper.listen = free_port(), gatekeeper.control = free_port(), gatekeeper.management = free_port();
     std::vector<int> real;
     for (std::size_t side = 0; side <= kMaxGatekeepers; ++side) {
       for (const Distributor& d : distributors_) real.push_back(d.port);
     }
     relay_ = std::make_unique<StreamRelay>(real);
-    reserved.clear();
     for (std::size_t d = 0; d < kDistributors; ++d) start_distributor(d);
     for (std::size_t g = 0; g < kGatekeepers; ++g) start(g);
     watcher_ = std::thread([this] { watch(); });
--- a/tests/stand_in.h
+++ b/tests/stand_in.h
@@ -17,6 +17,7 @@
 #include <functional>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "check.h"
 
@@ -52,6 +53,17 @@
     if (type == SOCK_STREAM) CHECK(::listen(s.fd_, 16) == 0);
     return s;
   }
+  // Holds a free port for a program that is started later: no socket gets it by chance, while the program,
+  // which binds with SO_REUSEADDR, may listen there. It does not listen itself.
+  static Socket reserved(std::uint32_t host = INADDR_LOOPBACK) {
+    Socket s(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
+    const int on = 1;
+    CHECK(::setsockopt(s.fd_, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on) == 0);
+    sockaddr_in address = loopback(0);
+    address.sin_addr.s_addr = htonl(host);
+    CHECK(::bind(s.fd_, reinterpret_cast<sockaddr*>(&address), sizeof address) == 0);
+    return s;
+  }
   // Connects, retrying until the peer listens.
   static Socket connected(int port) {
     const auto end = std::chrono::steady_clock::now() + std::chrono::milliseconds(kTestTimeoutMs);
@@ -148,6 +160,13 @@
   std::string buffer_;
 };
 
+// A port that stays reserved until the end of the test.
+inline int free_port() {
+  static std::vector<Socket> reservations;
+  reservations.push_back(Socket::reserved());
+  return reservations.back().port();
+}
+
 // The program as a child process with the test's configuration. Its output goes to a log file.
 class Program {
  public:
--- a/tests/world.h
+++ b/tests/world.h
@@ -16,8 +16,6 @@
 
 inline std::string at(int port) { return "127.0.0.1:" + std::to_string(port); }
 
-inline int free_port() { return Socket::bound(SOCK_STREAM).port(); }
-
 inline json config_for(int port, int server_port, int journal_port) {
   const json target = {
       {"uid", "s-1"},     {"endpoint", at(server_port)}, {"az", "west"},         {"pod_group", 0},
