--- a/lab/call_testbed.cpp
+++ b/lab/call_testbed.cpp
@@ -97,20 +97,24 @@
   }
 }
 
-void StreamPeer::write(const std::string& bytes) {
-  if (max_piece_ > 0 || !unwritten_.empty()) {
-    unwritten_ += bytes;
-    return;
-  }
-  if (open())
-    static_cast<void>(::send(socket_.descriptor(), bytes.data(), bytes.size(), MSG_NOSIGNAL | MSG_DONTWAIT));
+void StreamPeer::write(const std::string& bytes, WriteObserver on_written) {
+  const bool waits = max_piece_ > 0 || !unwritten_.empty();
+  unwritten_ += bytes;
+  if (on_written) observed_writes_.push_back({written_ + unwritten_.size(), std::move(on_written)});
+  if (!waits) write_piece();
 }
 
 void StreamPeer::write_piece() {
   if (unwritten_.empty() || !open()) return;
   const std::size_t size = max_piece_ == 0 ? unwritten_.size() : std::min(max_piece_, unwritten_.size());
-  static_cast<void>(::send(socket_.descriptor(), unwritten_.data(), size, MSG_NOSIGNAL | MSG_DONTWAIT));
-  unwritten_.erase(0, size);
+  const ssize_t sent = ::send(socket_.descriptor(), unwritten_.data(), size, MSG_NOSIGNAL | MSG_DONTWAIT);
+  if (sent <= 0) return;
+  unwritten_.erase(0, static_cast<std::size_t>(sent));
+  written_ += static_cast<std::size_t>(sent);
+  while (!observed_writes_.empty() && observed_writes_.front().end <= written_) {
+    observed_writes_.front().on_written();
+    observed_writes_.pop_front();
+  }
 }
 
 void StreamPeer::close() { socket_ = test::Socket(); }
@@ -153,8 +157,7 @@
   ends_in_next_turn_.insert(ends_in_next_turn_.end(), over.begin(), over.end());
   std::erase_if(byes_to_repeat_, [&](const auto& repeat) {
     if (testbed_.history(repeat.first).gatekeeper != gatekeeper) return false;
-    connection.peer->write(repeat.second);
-    testbed_.record_bye(repeat.first, uid_);
+    write_bye(*connection.peer, repeat.first, repeat.second);
     return true;
   });
 }
@@ -284,9 +287,12 @@
   const std::string bye = bye_for(id, call.number, cause);
   byes_to_repeat_.emplace_back(id, bye);
   StreamPeer* target = find_release_target(call.connection, testbed_.history(id).gatekeeper);
-  if (target == nullptr) return;
-  target->write(bye);
-  testbed_.record_bye(id, uid_);
+  if (target != nullptr) write_bye(*target, id, bye);
+}
+
+// A BYE counts as sent once its last byte is written: a server that stops or vanishes before has sent none.
+void StandInServer::write_bye(StreamPeer& target, const std::string& id, const std::string& bye) {
+  target.write(bye, [this, id] { testbed_.record_bye(id, uid_); });
 }
 
 StreamPeer* StandInServer::find_release_target(std::size_t own_connection, std::size_t gatekeeper) {
@@ -402,7 +408,8 @@
     gatekeeper.index = i;
     gatekeeper.discovery_listener = listening_socket(0);
     gatekeeper.discovery_port = gatekeeper.discovery_listener.port();
-    gatekeeper.port = listening_socket(0).port();
+    gatekeeper.port_reservation = test::Socket::reserved(host());
+    gatekeeper.port = gatekeeper.port_reservation.port();
   }
   std::map<std::string, std::string> states;
   for (int i = 0; i < options_.servers; ++i) states[add_server().uid()] = "ready";
--- a/lab/call_testbed.h
+++ b/lab/call_testbed.h
@@ -51,8 +51,10 @@
   int descriptor() const { return socket_.descriptor(); }
   // Appends what has arrived to `input`; closes this side if the peer has closed.
   void read_available();
-  // Writes all of it; output that the peer does not take is lost, as it would be at a reset.
-  void write(const std::string& bytes);
+  // Writes the bytes, at once where no piece size is set and nothing waits; the rest in write_piece(). Calls
+  // `on_written` once the last byte is written: never, if the connection ends before.
+  using WriteObserver = std::function<void()>;
+  void write(const std::string& bytes, WriteObserver on_written = {});
   // From now on each write_piece() writes at most this many bytes of what is to be written; 0: no limit.
   void set_max_piece(std::size_t bytes) { max_piece_ = bytes; }
   void write_piece();
@@ -64,6 +66,12 @@
   test::Socket socket_;
   std::size_t max_piece_ = 0;
   std::string unwritten_{};
+  std::size_t written_ = 0;  // bytes since the start
+  struct ObservedWrite {
+    std::size_t end;  // count of written bytes at which it is complete
+    WriteObserver on_written;
+  };
+  std::deque<ObservedWrite> observed_writes_{};
 };
 
 class CallTestbed;
@@ -172,7 +180,7 @@
   void record_ends_while_frozen();
   StreamPeer* find_release_target(std::size_t own_connection, std::size_t gatekeeper);
   void handle_message(std::size_t connection, const sip::Message& message);
-  void send_bye(const std::string& id, const std::string& bye);
+  void write_bye(StreamPeer& target, const std::string& id, const std::string& bye);
   void cut_calls();
 
   CallTestbed& testbed_;
@@ -292,6 +300,7 @@
   struct Gatekeeper {
     std::size_t index{};
     int port{};
+    test::Socket port_reservation{};
     std::optional<test::Program> program{};
     std::string former_logs{};
     bool running = false;
