Trunk over UDP: no INVITE is retransmitted to a server that is not in service

Cause: handle_endpoints() withdrew INVITEs over TCP only; over UDP the retransmissions went on. Change: they stop. A server that has the INVITE still answers; an attempt whose INVITE was lost ends by its time limit. Turned down: to abandon the attempt, which would cut setups that a draining server is about to answer.

Test: trunk (invite_over_udp_is_not_retransmitted_to_a_draining_server) failed on the code before, passes now.

--- a/src/upstream/sip_trunk.cpp
+++ b/src/upstream/sip_trunk.cpp
@@ -110,13 +110,17 @@
     update.entries.push_back(directory_.make_entry(id, endpoint));
   }
   out.notify_broker(core::ServersChanged{std::move(update)});
-  // Withdraws INVITEs that are not written yet, since a server that is not in service must get no new setups.
-  if (!settings_.reliable) return;
+  // A server that is not in service must get no new setups: withdraws INVITEs that are not written yet; a
+  // retransmitted datagram could be the first one that arrives.
   for (auto it = attempts_.begin(); it != attempts_.end();) {
     const auto attempt = it++;
-    if (attempt->second.state == State::calling && !attempt->second.provisional_received &&
-        endpoints_.at(attempt->second.server).state != ServerState::in_service)
+    if (attempt->second.state != State::calling || attempt->second.provisional_received) continue;
+    if (endpoints_.at(attempt->second.server).state == ServerState::in_service) continue;
+    if (settings_.reliable) {
       withdraw_invite(now, attempt, out);
+    } else {
+      transactions_.stop_retransmitting(attempt->second.invite);
+    }
   }
 }
 
--- a/tests/trunk_test.cpp
+++ b/tests/trunk_test.cpp
@@ -451,6 +451,20 @@
       std::count_if(lines.begin(), lines.end(), [](const auto& line) { return line.type == "release"; }));
 }
 
+// Guards against a retransmission as the first INVITE that a draining server gets, after the drain limit.
+void invite_over_udp_is_not_retransmitted_to_a_draining_server() {
+  for (const std::string state : {"draining", "gone"}) {
+    PlatformConfig config = config_for_tests();
+    config.journal = "127.0.0.1:8500";
+    TrunkLab lab("udp", config);
+    lab.call();
+    lab.take_one();
+    list_server(lab, state);
+    lab.advance(2900ms);
+    CHECK(lab.take_datagrams_to_servers().empty());
+  }
+}
+
 // A call whose server vanishes is released within 8 s of its end, in every state of the endpoint list.
 // Nothing watched it: it stayed established for good unless the list told the removal.
 void call_at_vanished_server_is_released_in_every_state_of_the_list() {
@@ -654,6 +668,7 @@
 
 int main() {
   time_left_sent_to_server_never_exceeds_the_callers();
+  invite_over_udp_is_not_retransmitted_to_a_draining_server();
   call_at_vanished_server_is_released_in_every_state_of_the_list();
   call_at_removed_server_stands_until_its_release();
   call_established_after_removal_of_its_server_is_released();
