--- a/tests/upgrade_test.cpp
+++ b/tests/upgrade_test.cpp
@@ -44,6 +44,17 @@
   return R"({"type":"released","id":")" + id + R"(","fields":{}})" + "\n";
 }
 
+// Connects the caller and establishes a call; returns the connection of its server.
+ConnId establish_call(GatekeeperLab& lab) {
+  const ConnId server = lab.connects.at(0).conn;
+  lab.bring_up();
+  lab.deliver(net::Accepted{kCaller});
+  lab.receive(kCaller, setup_line("00000000000000aa"));
+  lab.receive(server, server_answer(lab.messages(server).back(), 200, "answer"));
+  CHECK_EQ(lab.lines(kCaller).at(0).type, "answer");
+  return server;
+}
+
 bool is_closed(const GatekeeperLab& lab, ConnId conn) {
   return std::find(lab.closed.begin(), lab.closed.end(), conn) != lab.closed.end();
 }
@@ -90,12 +101,7 @@
 void calls_that_end_while_the_old_process_runs_are_released() {
   for (const Duration quiet : {0s, 20s}) {
     GatekeeperLab lab(config_with_inherited_socket());
-    const ConnId s0 = lab.connects.at(0).conn;
-    lab.bring_up();
-    lab.deliver(net::Accepted{kCaller});
-    lab.receive(kCaller, setup_line("00000000000000aa"));
-    lab.receive(s0, server_answer(lab.messages(s0).back(), 200, "answer"));
-    lab.lines(kCaller);
+    const ConnId s0 = establish_call(lab);
     for (Duration passed{}; passed < quiet; passed += 1s) {
       lab.advance(1s);
       lab.receive(s0, server_report());
@@ -113,11 +119,7 @@
 void calls_without_a_callers_connection_are_left_to_the_successor() {
   for (const bool caller_leaves_first : {true, false}) {
     GatekeeperLab lab(config_with_inherited_socket());
-    const ConnId s0 = lab.connects.at(0).conn;
-    lab.bring_up();
-    lab.deliver(net::Accepted{kCaller});
-    lab.receive(kCaller, setup_line("00000000000000aa"));
-    lab.receive(s0, server_answer(lab.messages(s0).back(), 200, "answer"));
+    establish_call(lab);
     if (caller_leaves_first) lab.deliver(net::Closed{kCaller, false});
     lab.deliver(net::StopRequested{});
     if (!caller_leaves_first) {
@@ -132,11 +134,7 @@
 // Guards against an exit of a process without a successor that still keeps a release for the next connection.
 void release_without_a_connection_delays_the_exit() {
   GatekeeperLab lab;
-  const ConnId s0 = lab.connects.at(0).conn;
-  lab.bring_up();
-  lab.deliver(net::Accepted{kCaller});
-  lab.receive(kCaller, setup_line("00000000000000aa"));
-  lab.receive(s0, server_answer(lab.messages(s0).back(), 200, "answer"));
+  const ConnId s0 = establish_call(lab);
   lab.deliver(net::Closed{kCaller, false});
   lab.receive(s0, server_bye("00000000000000aa", 16));
   lab.deliver(net::StopRequested{});
@@ -176,11 +174,7 @@
 // 5 s, so SIGKILL comes after 5.7 s at the earliest.
 void established_calls_delay_the_exit_for_bounded_time() {
   GatekeeperLab lab(config_with_inherited_socket());
-  const ConnId s0 = lab.connects.at(0).conn;
-  lab.bring_up();
-  lab.deliver(net::Accepted{kCaller});
-  lab.receive(kCaller, setup_line("00000000000000aa"));
-  lab.receive(s0, server_answer(lab.messages(s0).back(), 200, "answer"));
+  establish_call(lab);
   lab.deliver(net::StopRequested{});
   lab.advance(4300ms);
   CHECK(!lab.exit_status && !is_closed(lab, kCaller));
