Server watch: two connections follow each loss, also where notification connections are full

Such a loss is followed by two connections, one at once and one 0.25 s after the first has carried a message, by when the server has noticed the loss. The first came (11, at 17.55 s), the second never: connections 8, 10 and 11 were the three for notifications, all in use by releases of other calls, and due_connect() opens none beyond. No BYE of the call came on any connection; 25 other calls of connection 7 were released on 8 to 11.

Test: connection_lifecycle (two_connections_follow_each_of_several_drops): one connection, not two, after the fourth drop on the code before; passes now, as do platform, repeated_attempts, call_evidence and crossings, under the sanitizers.

--- a/src/upstream/server_watch.cpp
+++ b/src/upstream/server_watch.cpp
@@ -137,7 +137,7 @@
     return DueConnect{};
   }
   const bool repeat_due = now >= std::max(last_repeat_at_ + kRepeatDelay, next_repeat_);
-  if (repeat_needed_ && repeat_due && !situation.notification_connections_full)
+  if (repeat_needed_ && repeat_due && !situation.repeat_connections_full)
     return DueConnect{ConnectPurpose::notifications};
   if (now < next_connect_) return {};
   const bool idle = silence(now) > kIdleSuspicionTimeout;
--- a/src/upstream/server_watch.h
+++ b/src/upstream/server_watch.h
@@ -29,6 +29,8 @@
   bool response_overdue{};  // a response is awaited for longer than expected
   bool setup_connections_full{};
   bool notification_connections_full{};
+  // Also those are used up that are reserved for the repetition of releases that may be lost.
+  bool repeat_connections_full{};
 };
 
 enum class ConnectPurpose : std::uint8_t {
--- a/src/upstream/setup_servers.cpp
+++ b/src/upstream/setup_servers.cpp
@@ -28,6 +28,9 @@
 constexpr Duration kReorderThreshold = 100ms;
 constexpr std::size_t kMaxConnections = 3;              // per server, for setups
 constexpr std::size_t kMaxNotificationConnections = 3;  // per server, in addition; without retired ones
+// Per server, in addition: after a loss two connections follow, also where all notification connections are
+// in use.
+constexpr std::size_t kReservedRepeatConnections = 2;
 // How long after the start of the process a server that drains may still have calls of an earlier process of
 // this gatekeeper. Almost all calls are shorter.
 constexpr Duration kFormerCallsTimeout = 60s;
@@ -439,7 +442,10 @@
   situation.connecting = server.connecting.has_value();
   situation.response_overdue = is_response_overdue(now, server);
   situation.setup_connections_full = count_connections(server, false) >= kMaxConnections;
-  situation.notification_connections_full = count_connections(server, true) >= kMaxNotificationConnections;
+  const std::size_t notification_connections = count_connections(server, true);
+  situation.notification_connections_full = notification_connections >= kMaxNotificationConnections;
+  situation.repeat_connections_full =
+      notification_connections >= kMaxNotificationConnections + kReservedRepeatConnections;
   return situation;
 }
 
--- a/tests/connection_lifecycle_test.cpp
+++ b/tests/connection_lifecycle_test.cpp
@@ -133,6 +133,30 @@
   lab.expect_release_forwarded(opened.at(1));
 }
 
+// Guards against a release that the server could repeat on no connection: after several losses the
+// connections for notifications were all in use, and only the first of the two that have to follow a loss was
+// opened.
+void two_connections_follow_each_of_several_drops() {
+  EstablishedLab lab;
+  ConnId current = lab.s0;
+  std::vector<ConnId> open;
+  for (int drop = 1; drop <= 5; ++drop) {
+    lab.receive(current, kNoise);
+    std::erase(open, current);
+    std::vector<ConnId> opened;
+    for (int i = 0; i < 10; ++i) {
+      for (const ConnId conn : lab.bring_up("127.0.0.1:9000")) opened.push_back(conn);
+      for (const ConnId conn : open) lab.receive(conn, server_report());
+      for (const ConnId conn : opened) lab.receive(conn, server_report());
+      lab.advance(50ms);
+    }
+    CHECK_EQ(opened.size(), 2U);
+    open.insert(open.end(), opened.begin(), opened.end());
+    current = opened.front();
+  }
+  lab.expect_release_forwarded(open.back());
+}
+
 // Each server may have accepted a connection of a new process before it notices the end of the former one, to
 // whose connections it writes some releases.
 void release_of_a_former_call_is_followed_by_one_more_connection_to_each_server() {
@@ -205,6 +229,7 @@
   release_arrives_on_any_connection_after_a_hang();
   connections_to_a_silent_server_are_bounded();
   two_connections_follow_a_drop();
+  two_connections_follow_each_of_several_drops();
   release_of_a_former_call_is_followed_by_one_more_connection_to_each_server();
   reset_of_a_retired_connection_loses_nothing();
   close_within_a_message_is_followed_by_another_connection();
