--- a/lab/call_testbed.cpp
+++ b/lab/call_testbed.cpp
@@ -98,10 +98,9 @@
 }
 
 void StreamPeer::write(const std::string& bytes, WriteObserver on_written) {
-  const bool waits = max_piece_ > 0 || !unwritten_.empty();
   unwritten_ += bytes;
   if (on_written) observed_writes_.push_back({written_ + unwritten_.size(), std::move(on_written)});
-  if (!waits) write_piece();
+  if (max_piece_ == 0) write_piece();
 }
 
 void StreamPeer::write_piece() {
--- a/lab/call_testbed.h
+++ b/lab/call_testbed.h
@@ -51,8 +51,8 @@
   int descriptor() const { return socket_.descriptor(); }
   // Appends what has arrived to `input`; closes this side if the peer has closed.
   void read_available();
-  // Writes the bytes, at once where no piece size is set and nothing waits; the rest in write_piece(). Calls
-  // `on_written` once the last byte is written: never, if the connection ends before.
+  // Writes the bytes after those that wait, at once where no piece size is set; the rest in write_piece().
+  // Calls `on_written` once the last byte is written: never, if the connection ends before.
   using WriteObserver = std::function<void()>;
   void write(const std::string& bytes, WriteObserver on_written = {});
   // From now on each write_piece() writes at most this many bytes of what is to be written; 0: no limit.
--- a/tests/lab.h
+++ b/tests/lab.h
@@ -2,6 +2,7 @@
 // waiting.
 #pragma once
 
+#include <algorithm>
 #include <map>
 #include <queue>
 #include <set>
@@ -60,6 +61,13 @@
   return c;
 }
 
+// Of a process that shares the callers' listening socket with its predecessor or successor.
+inline PlatformConfig config_with_inherited_socket() {
+  PlatformConfig config = config_for_tests();
+  config.inherited_socket = 7;
+  return config;
+}
+
 // The line of a caller's setup.
 inline std::string setup_line(const std::string& id, const std::string& call_class = "voice", int left = 3000,
                               int dest = 0, const std::string& sdp = "x") {
@@ -164,6 +172,7 @@
     if (at == std::string::npos) return "none";
     return text.substr(at + start.size(), text.find('\n', at + 1) - at - start.size());
   }
+  bool is_closed(ConnId conn) const { return std::find(closed.begin(), closed.end(), conn) != closed.end(); }
   std::string take_sent(ConnId conn) { return std::exchange(sent[conn], {}); }
   // The SIP messages sent on a connection since the last call.
   std::vector<sip::Message> messages(ConnId conn) {
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -781,10 +781,6 @@
   CHECK(lab.lines(kCaller).empty());
 }
 
-bool is_closed(const GatekeeperLab& lab, ConnId conn) {
-  return std::find(lab.closed.begin(), lab.closed.end(), conn) != lab.closed.end();
-}
-
 // Guards against a crash by one client's run of empty lines in one read, after a line that made the buffer
 // grow.
 void run_of_empty_lines_of_one_client_harms_nobody() {
@@ -811,12 +807,12 @@
                        "\n");
   for (int i = 0; i < 28; ++i) {  // byte by byte
     lab.advance(100ms);
-    if (!is_closed(lab, half)) lab.receive(half, "{");
+    if (!lab.is_closed(half)) lab.receive(half, "{");
   }
-  CHECK(is_closed(lab, silent) && is_closed(lab, half));
-  CHECK(!is_closed(lab, pinging) && !is_closed(lab, kCaller));
+  CHECK(lab.is_closed(silent) && lab.is_closed(half));
+  CHECK(!lab.is_closed(pinging) && !lab.is_closed(kCaller));
   lab.advance(15s);
-  CHECK(is_closed(lab, pinging) && !is_closed(lab, kCaller));  // a setup is open there
+  CHECK(lab.is_closed(pinging) && !lab.is_closed(kCaller));  // a setup is open there
 }
 
 // Guards against new callers that are not accepted.
@@ -831,11 +827,11 @@
   for (std::uint32_t i = 2; i <= 100; ++i) {
     lab.deliver(net::Accepted{{Concern::platform, i}});
     lab.receive({Concern::platform, i}, ping);
-    CHECK(!is_closed(lab, {Concern::platform, i}));
+    CHECK(!lab.is_closed({Concern::platform, i}));
     lab.advance(1ms);
   }
   CHECK_EQ(lab.closed.size(), 100U - 31U);
-  CHECK(!is_closed(lab, kCaller));
+  CHECK(!lab.is_closed(kCaller));
 }
 
 // Such numbers must not reach the decision module or the servers.
--- a/tests/sip_test.cpp
+++ b/tests/sip_test.cpp
@@ -42,12 +42,6 @@
   }
 };
 
-PlatformConfig config_with_inherited_socket() {
-  PlatformConfig config = config_for_tests();
-  config.inherited_socket = 7;
-  return config;
-}
-
 struct SipLab : GatekeeperLab {
   explicit SipLab(int servers = 2) : SipLab(config_for_tests(servers)) {}
   explicit SipLab(const PlatformConfig& config, Time start = kLabStart)
--- a/tests/upgrade_test.cpp
+++ b/tests/upgrade_test.cpp
@@ -13,12 +13,6 @@
 constexpr ConnId kCaller{Concern::platform, 1};
 constexpr ConnId kOther{Concern::platform, 2};
 
-PlatformConfig config_with_inherited_socket() {
-  PlatformConfig c = config_for_tests();
-  c.inherited_socket = 7;
-  return c;
-}
-
 bool listens_for_callers(const GatekeeperLab& lab) {
   return std::any_of(lab.listens.begin(), lab.listens.end(),
                      [](const net::Listen& l) { return l.concern == Concern::platform; });
@@ -55,10 +49,6 @@
   return server;
 }
 
-bool is_closed(const GatekeeperLab& lab, ConnId conn) {
-  return std::find(lab.closed.begin(), lab.closed.end(), conn) != lab.closed.end();
-}
-
 void old_process_accepts_no_callers_and_closes_idle_ones() {
   GatekeeperLab lab(config_with_inherited_socket());
   const ConnId s0 = lab.connects.at(0).conn;
@@ -83,7 +73,7 @@
   lab.advance(2s);
   CHECK(!lab.exit_status);
   for (const std::string id : {"00000000000000aa", "00000000000000ab"}) {
-    CHECK(!is_closed(lab, kCaller));
+    CHECK(!lab.is_closed(kCaller));
     lab.receive(s0, server_bye(id, 16));
     const std::vector<jsonl::Message> lines = lab.lines(kCaller);
     CHECK_EQ(lines.size(), 1U);
@@ -91,7 +81,7 @@
     lab.receive(kCaller, released_line(id));
   }
   lab.advance(100ms);
-  CHECK(is_closed(lab, kCaller));
+  CHECK(lab.is_closed(kCaller));
   CHECK(lab.exit_status == 0);
 }
 
@@ -106,7 +96,7 @@
       lab.advance(1s);
       lab.receive(s0, server_report());
     }
-    CHECK(!is_closed(lab, kCaller));
+    CHECK(!lab.is_closed(kCaller));
     lab.deliver(net::StopRequested{});
     lab.advance(2500ms);
     lab.receive(s0, server_bye("00000000000000aa", 16));
@@ -177,9 +167,9 @@
   establish_call(lab);
   lab.deliver(net::StopRequested{});
   lab.advance(4300ms);
-  CHECK(!lab.exit_status && !is_closed(lab, kCaller));
+  CHECK(!lab.exit_status && !lab.is_closed(kCaller));
   lab.advance(200ms);
-  CHECK(is_closed(lab, kCaller));
+  CHECK(lab.is_closed(kCaller));
   CHECK(lab.exit_status == 0);
 }
 
