--- /dev/null
+++ b/review/common-2/run.sh
@@ -0,0 +1,28 @@
+#!/usr/bin/env bash
+# Runs the driver of a case: run.sh CASE. Exit status: 1 broken, 0 held, 2 could not run.
+set -u
+case=$1
+root=$(cd "$(dirname "$0")/../.." && pwd) || exit 2
+cd "$root" || exit 2
+run=$(sed -n 's/^run = "\(.*\)"$/\1/p' deploy/balancer.toml)
+drive="build-review-2/drive-$case"
+if [ -z "$run" ] || [ ! -x build/graniterun ] || [ ! -x "$drive" ]; then
+  echo "build first: the deploy file's build, then review/build-2.sh" >&2
+  exit 2
+fi
+work=$(mktemp -d) || exit 2
+"$drive" "$run" "$work" "$root/review/$case/record.txt" &
+pid=$!
+# The driver ends what it started; the limit ends the driver, and by its group what is left.
+(
+  sleep 115
+  kill "$pid" 2>/dev/null
+) >/dev/null 2>&1 &
+guard=$!
+wait "$pid"
+status=$?
+kill "$guard" 2>/dev/null
+wait "$guard" 2>/dev/null
+if [ -n "${KEEP:-}" ]; then echo "logs in $work"; else rm -rf "$work"; fi
+[ "$status" -le 2 ] || status=2
+exit "$status"
