--- a/review/common-2/stage.h
+++ b/review/common-2/stage.h
@@ -761,6 +761,8 @@
     for (auto& [stream, sent] : watches_) feed(stream, sent);
   }
   const std::vector<std::string>& events() const { return events_; }
+  Ms answer_delay = 0;  // from the request to the first byte of its answer
+  int watches = 0;      // requests so far
   // While it is down, it says nothing and new connections never come up.
   void go_down() {
     down_ = true;
@@ -789,11 +791,17 @@
       const std::size_t last =
           at == std::string::npos ? 0 : static_cast<std::size_t>(std::atoi(open->in.c_str() + at + 15));
       open->in.clear();
-      open->send("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n: here\n\n");
-      watches_.emplace_back(open, last);
-      feed(open, watches_.back().second);
+      ++watches;
+      record("journal: a watch from event %zu on", last + 1);
+      loop.after(answer_delay, [this, weak, last] { answer(weak.lock(), last); });
     };
   }
+  void answer(const StreamPtr& open, std::size_t last) {
+    if (!open || !open->open() || down_) return;
+    open->send("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n: here\n\n");
+    watches_.emplace_back(open, last);
+    feed(open, watches_.back().second);
+  }
   void feed(const StreamPtr& stream, std::size_t& sent) {
     for (; !down_ && sent < events_.size(); ++sent)
       stream->send("id: " + std::to_string(sent + 1) + "\ndata: " + events_[sent] + "\n\n");
