Review stand-ins: what a case has started ends with its driver

Looked for: processes that outlive a run that could not run; two gatekeepers had. Done: they end with their parent, and the limit is that of timeout.

--- a/review/common-2/run.sh
+++ b/review/common-2/run.sh
@@ -11,18 +11,9 @@
   exit 2
 fi
 work=$(mktemp -d) || exit 2
-"$drive" "$run" "$work" "$root/review/$case/record.txt" &
-pid=$!
-# The driver ends what it started; the limit ends the driver, and by its group what is left.
-(
-  sleep 115
-  kill "$pid" 2>/dev/null
-) >/dev/null 2>&1 &
-guard=$!
-wait "$pid"
+# The driver ends what it started, also at its limit.
+timeout 115 "$drive" "$run" "$work" "$root/review/$case/record.txt"
 status=$?
-kill "$guard" 2>/dev/null
-wait "$guard" 2>/dev/null
 if [ -n "${KEEP:-}" ]; then echo "logs in $work"; else rm -rf "$work"; fi
 [ "$status" -le 2 ] || status=2
 exit "$status"
--- a/review/common-2/stage.h
+++ b/review/common-2/stage.h
@@ -8,6 +8,7 @@
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <signal.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -355,6 +356,7 @@
 
 inline std::map<pid_t, std::string> children;
 
+// Ends all processes that were started; also called at each exit.
 inline void end_children() {
   for (const auto& [pid, name] : children) {
     ::kill(pid, SIGCONT);
@@ -369,9 +371,11 @@
 inline pid_t start(const std::string& name, const std::string& command,
                    const std::map<std::string, std::string>& environment, const std::string& log,
                    int inherited = -1) {
+  static const bool ends_children = std::atexit([] { end_children(); }) == 0;
   const pid_t pid = ::fork();
-  if (pid < 0) cannot_run("no process");
+  if (pid < 0 || !ends_children) cannot_run("no process");
   if (pid == 0) {
+    ::prctl(PR_SET_PDEATHSIG, SIGKILL);  // it ends with this process, however that ends
     const int fd = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
     ::dup2(fd, 1);
     ::dup2(fd, 2);
