--- a/src/downstream/sip.cpp
+++ b/src/downstream/sip.cpp
@@ -4,6 +4,7 @@
 
 #include "codec/jsonl.h"
 #include "codec/number.h"
+#include "core/q850.h"
 
 namespace graniterun::downstream {
 namespace {
@@ -138,6 +139,34 @@
   if (settings_.tcp) out.net.push_back(net::StopListening{net::Concern::sip});
 }
 
+void Sip::begin_shutdown(Time now, ShutdownTimes times, Outbox& out) {
+  shutdown_ = times;
+  continue_shutdown(now, out);
+}
+
+// Ends the established calls once it is time. A call that its caller has not acknowledged gets its BYE after
+// the ACK (§15), at the latest when no ACK can come any more.
+void Sip::continue_shutdown(Time now, Outbox& out) {
+  if (!shutdown_ || now < shutdown_->end_calls_at) return;
+  std::vector<CallId> established;
+  for (const auto& [id, call] : calls_) {
+    if (call.answered) established.push_back(id);
+  }
+  std::ranges::sort(established);
+  for (const CallId id : established) {
+    Call& call = calls_.at(id);
+    if (!call.bye_after_ack) {
+      counters_.add("sip.calls_ended_by_shutdown");
+      call.bye_after_ack = true;
+      call.cause = kCauseTemporaryFailure;
+      out.notify_broker(core::CallerReleased{id, kCauseTemporaryFailure});
+    }
+    if (!call.acknowledged && now < shutdown_->end_unacknowledged_at) continue;
+    send_bye(now, call, call.cause, out);
+    forget(id);
+  }
+}
+
 std::size_t Sip::pending_byes() const {
   const auto waiting =
       std::ranges::count_if(calls_, [](const auto& call) { return call.second.bye_after_ack; });
@@ -331,11 +360,8 @@
     counters_.add("sip.malformed");
     return respond(now, key, message.uri.starts_with("sip:") ? 400 : 416, out, error);
   }
-  if (calls_.size() >= kMaxCalls) {
-    sip::Message response = sip::answer_to(message, 503, sip::phrase_of(503), ids_.next());
-    response.add("Retry-After", retry_after(kNotReadyRetryAfter));
-    return transactions_.respond(now, key, response, out);
-  }
+  const bool calls_are_ended = shutdown_ && now >= shutdown_->end_calls_at;
+  if (calls_are_ended || calls_.size() >= kMaxCalls) return reject_unavailable(now, key, message, out);
   request.call = core::call_id(core::FrontEnd::sip, ++last_call_);
   Call call;
   call.invite = key;
@@ -358,6 +384,12 @@
   out.notify_broker(core::RequestReceived{std::move(request)});
 }
 
+void Sip::reject_unavailable(Time now, const std::string& key, const sip::Message& message, Outbox& out) {
+  sip::Message response = sip::answer_to(message, 503, sip::phrase_of(503), ids_.next());
+  response.add("Retry-After", retry_after(kNotReadyRetryAfter));
+  transactions_.respond(now, key, response, out);
+}
+
 std::string Sip::read_request(Time now, const sip::Message& message, core::Request& request) {
   if (!message.uri.starts_with("sip:")) return "the URI's scheme is not sip";
   request.number_text = sip::user_of(message.uri);
--- a/src/downstream/sip.h
+++ b/src/downstream/sip.h
@@ -53,6 +53,16 @@
   // Called when another process of this gatekeeper is to take over: frees the TCP address for it. The UDP
   // address is freed by the end of this process, since datagrams of its dialogs come there until then.
   void begin_handover(Outbox& out) const;
+  // When the calls of a process that stops without a successor are ended.
+  struct ShutdownTimes {
+    Time end_calls_at{};
+    // Calls whose caller has not acknowledged the 2xx by then are ended all the same.
+    Time end_unacknowledged_at{};
+  };
+  // Called when this process stops and no other one takes over its dialogs. From `end_calls_at` on, new calls
+  // are rejected and established ones ended on both sides; continue_shutdown is to be called repeatedly.
+  void begin_shutdown(Time now, ShutdownTimes times, Outbox& out);
+  void continue_shutdown(Time now, Outbox& out);
   // Number of calls without a final response, or established.
   std::size_t call_count() const { return calls_.size(); }
   // Number of BYEs that callers have not confirmed, or that wait for the caller's ACK.
@@ -103,6 +113,7 @@
   void respond(Time now, const std::string& key, int status, Outbox& out, const std::string& warning = {});
   void reject_malformed(Time now, const sip::Incoming& incoming, Outbox& out);
   void make_room(Time now, Outbox& out);
+  void reject_unavailable(Time now, const std::string& key, const sip::Message& message, Outbox& out);
   void cancel_unanswered(Time now, std::uint32_t conn, Outbox& out);
   std::string read_request(Time now, const sip::Message& message, core::Request& request);
   sip::Message make_ok(const Call& call, const sip::Message& request) const;
@@ -135,6 +146,7 @@
   std::uint64_t last_call_ = 0;
   RandomIdGenerator ids_;
   bool ready_ = false;
+  std::optional<ShutdownTimes> shutdown_{};
 };
 
 }  // namespace graniterun::downstream
--- a/src/gatekeeper/gatekeeper.cpp
+++ b/src/gatekeeper/gatekeeper.cpp
@@ -28,6 +28,9 @@
 // Time before open requests are rejected, with a successor process, in which callers' connections are closed
 // also if calls are established on them, each in a moment without an open request.
 constexpr Duration kHandoverCloseWindow = 1s;
+// Time before open requests are rejected, without a successor, in which the calls of SIP callers are ended: a
+// BYE over UDP that is lost can be sent again before the exit.
+constexpr Duration kSipCallEndWindow = 1s;
 
 downstream::PlatformFrontSettings platform_settings(const PlatformConfig& config, const DeployConfig& deploy,
                                                     const core::ClassTable& classes) {
@@ -145,6 +148,7 @@
   handler(net::Concern::process) = [this](Time now, const net::Event&, Outbox& out) {
     out.arm(net::Concern::process, 0, now + kShutdownCheckInterval);
     platform_.continue_handover(now, out);
+    sip_.continue_shutdown(now, out);
   };
   handler(net::Concern::discovery) = [this, step = handler_of(journal_)](Time now, const net::Event& event,
                                                                          Outbox& out) {
@@ -375,6 +379,9 @@
     platform_.begin_handover(now, now + answers_due_after_stop() - kHandoverCloseWindow, out);
     sip_.begin_handover(out);
     if (trunk_) trunk_->begin_handover(out);
+  } else {
+    const Time answers_due_at = now + answers_due_after_stop();
+    sip_.begin_shutdown(now, {answers_due_at - kSipCallEndWindow, answers_due_at}, out);
   }
   out.arm(net::Concern::process, 0, now + kShutdownCheckInterval);
 }
@@ -485,16 +492,15 @@
   if (drained()) request_exit(net::ExitIfIdle{0}, out);
 }
 
-// Whether this process owes nothing to any peer. With a successor, the established calls of platform callers
-// are kept only while a caller's connection is open: without one their releases could not be sent from here,
-// while setup servers that see this process' connections closed send them to the successor. SIP dialogs are
-// bound to this process.
+// Whether this process owes nothing to any peer. SIP dialogs are bound to this process: no other one can end
+// them, so it waits for their end. With a successor, the established calls of platform callers are kept only
+// while a caller's connection is open: without one their releases could not be sent from here, while setup
+// servers that see this process' connections closed send them to the successor.
 bool Gatekeeper::drained() const {
-  if (broker_.unanswered() > 0) return false;
-  const bool calls_ended = config_.inherited_socket
-                               ? platform_.connection_count() == 0 && sip_.call_count() == 0
-                               : platform_.unassigned_releases() == 0;
-  return calls_ended && sip_.pending_byes() == 0 && (!trunk_ || trunk_->pending_byes() == 0);
+  if (broker_.unanswered() > 0 || sip_.call_count() > 0) return false;
+  const bool callers_notified =
+      config_.inherited_socket ? platform_.connection_count() == 0 : platform_.unassigned_releases() == 0;
+  return callers_notified && sip_.pending_byes() == 0 && (!trunk_ || trunk_->pending_byes() == 0);
 }
 
 void Gatekeeper::request_exit(const net::Effect& end, Outbox& out) {
