--- a/src/downstream/load_control.cpp
+++ b/src/downstream/load_control.cpp
@@ -56,6 +56,16 @@
   transactions_.respond(now, key, answer, out);
 }
 
+// A response to a request that changed nothing here: a repeat gets the same one without a transaction.
+void LoadControl::reject(const std::string& key, int status, Outbox& out, const char* header,
+                         const std::string& value) {
+  const sip::Message* message = transactions_.request_of(key);
+  if (message == nullptr) return;
+  sip::Message answer = sip::answer_to(*message, status, sip::phrase_of(status), sip::stateless_tag(key));
+  if (header != nullptr) answer.add(header, value);
+  transactions_.respond_without_state(key, answer, out);
+}
+
 sip::Message LoadControl::make_request(const Dialog& dialog, const std::string& method) {
   sip::Message message;
   message.method = method;
@@ -79,30 +89,30 @@
                                    const sip::Message& message, Outbox& out) {
   counters_.add("load_control.subscribes");
   if (!source_.gaps || value_of(message.header("Event")) != kEvent)
-    return respond(now, key, 489, out, "Allow-Events", kEvent);
+    return reject(key, 489, out, "Allow-Events", kEvent);
   if (const std::string_view accepts = message.header("Accept");
       !accepts.empty() && accepts.find(kContentType) == std::string_view::npos &&
       accepts.find("*/*") == std::string_view::npos)
-    return respond(now, key, 406, out, "Accept", kContentType);
+    return reject(key, 406, out, "Accept", kContentType);
   Duration lifetime = kMaxLifetime;
   if (const std::string_view expires = message.header("Expires"); !expires.empty()) {
     const auto value = seconds_in(expires);
-    if (!value) return respond(now, key, 400, out);
+    if (!value) return reject(key, 400, out);
     lifetime = std::min<Duration>(kMaxLifetime, std::chrono::seconds(*value));
     if (lifetime > Duration{} && lifetime < kMinLifetime)
-      return respond(now, key, 423, out, "Min-Expires", std::to_string(kMinLifetime / 1s));
+      return reject(key, 423, out, "Min-Expires", std::to_string(kMinLifetime / 1s));
   }
   const std::string_view remote_tag = sip::parameter(message.header("From"), "tag");
   const std::string_view local_tag = sip::parameter(message.header("To"), "tag");
   auto it = subscriptions_.find(dialog_key(message.header("Call-ID"), local_tag, remote_tag));
   const std::uint32_t number = sip::cseq_of(message)->number;
   if (!local_tag.empty()) {
-    if (it == subscriptions_.end()) return respond(now, key, 481, out);
-    if (number <= it->second.dialog.remote_cseq) return respond(now, key, 500, out);
+    if (it == subscriptions_.end()) return reject(key, 481, out);
+    if (number <= it->second.dialog.remote_cseq) return reject(key, 500, out);
   } else {
     if (subscriptions_.size() >= kMaxSubscriptions) {
       counters_.add("load_control.subscribes_barred");
-      return respond(now, key, 503, out, "Retry-After", "30");
+      return reject(key, 503, out, "Retry-After", "30");
     }
     Subscription subscription;
     Dialog& dialog = subscription.dialog;
@@ -250,11 +260,11 @@
     return !neighbour.dialog.call_id.empty() && neighbour.dialog.call_id == message.header("Call-ID") &&
            sip::parameter(neighbour.dialog.local, "tag") == sip::parameter(message.header("To"), "tag");
   });
-  if (it == neighbours_.end() || !source_.announce) return respond(now, key, 481, out);
-  if (value_of(message.header("Event")) != kEvent) return respond(now, key, 489, out, "Allow-Events", kEvent);
+  if (it == neighbours_.end() || !source_.announce) return reject(key, 481, out);
+  if (value_of(message.header("Event")) != kEvent) return reject(key, 489, out, "Allow-Events", kEvent);
   Neighbour& neighbour = *it;
   const std::uint32_t number = sip::cseq_of(message)->number;
-  if (number <= neighbour.dialog.remote_cseq) return respond(now, key, 500, out);
+  if (number <= neighbour.dialog.remote_cseq) return reject(key, 500, out);
   neighbour.dialog.remote_cseq = number;
   const bool terminated = value_of(message.header("Subscription-State")) == "terminated";
   if (!message.body.empty()) {
--- a/src/downstream/load_control.h
+++ b/src/downstream/load_control.h
@@ -85,6 +85,8 @@
 
   void respond(Time now, const std::string& key, int status, Outbox& out, const char* header = nullptr,
                const std::string& value = {});
+  void reject(const std::string& key, int status, Outbox& out, const char* header = nullptr,
+              const std::string& value = {});
   void accept(Time now, const std::string& key, const sip::Message& message, const Dialog& dialog,
               Duration lifetime, Outbox& out);
   void send_notify(Time now, Subscription& subscription, const std::string& state, Outbox& out);
--- a/src/downstream/sip.cpp
+++ b/src/downstream/sip.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "codec/fnv1a.h"
 #include "codec/jsonl.h"
 #include "codec/number.h"
 #include "core/q850.h"
@@ -13,6 +14,8 @@
 
 constexpr std::string_view kAllow = "INVITE, ACK, CANCEL, BYE, OPTIONS, SUBSCRIBE, NOTIFY";
 constexpr std::size_t kMaxCalls = 20000;
+// Bound on the INVITEs of all calls, of which some parts are kept more than once.
+constexpr std::size_t kMaxCallBytes = std::size_t{16} * 1024 * 1024;
 constexpr Duration kNotReadyRetryAfter = 2s;
 constexpr Duration kReapInterval = 200ms;
 constexpr std::uint64_t kReapTimer =
@@ -52,6 +55,12 @@
   return std::string(call_id).append("|").append(local_tag).append("|").append(remote_tag);
 }
 
+std::size_t size_of(const sip::Message& message) {
+  std::size_t bytes = message.uri.size() + message.body.size();
+  for (const auto& [name, value] : message.headers) bytes += name.size() + value.size();
+  return bytes;
+}
+
 std::string merge_key(const sip::Message& message) {
   return std::string(message.header("Call-ID"))
       .append("|")
@@ -60,13 +69,6 @@
       .append(message.header("CSeq"));
 }
 
-// FNV-1a: the same value for the same text on every gatekeeper.
-std::uint64_t hash(std::string_view text) {
-  std::uint64_t value = 0xcbf29ce484222325U;
-  for (const char c : text) value = (value ^ static_cast<unsigned char>(c)) * 0x100000001b3U;
-  return value;
-}
-
 std::optional<std::int64_t> whole_number(std::string_view text) {
   const auto value = number_in<std::int64_t>(text);
   return value && *value >= 0 ? value : std::nullopt;
@@ -117,6 +119,7 @@
       transactions_(net::Concern::sip, transport_, counters),
       load_control_({settings_.udp, settings_.tcp, settings_.load_control_from, settings_.seed},
                     transactions_, counters),
+      recent_invites_(2 * sip::k64T1, kMaxCalls),
       ids_(settings_.seed) {}
 
 void Sip::start(Time now, Outbox& out) {
@@ -297,41 +300,56 @@
       break;
   }
   if (message.method == "CANCEL") return handle_cancel(now, key, message, out);
-  if (message.header("Max-Forwards") == "0" && message.method != "OPTIONS")
-    return respond(now, key, 483, out);
+  if (message.header("Max-Forwards") == "0" && message.method != "OPTIONS") return reject(key, 483, out);
   const bool in_dialog = !sip::parameter(message.header("To"), "tag").empty();
   if (const std::string_view required = message.header("Require"); !required.empty()) {
-    sip::Message response = sip::answer_to(message, 420, sip::phrase_of(420), ids_.next());
-    response.add("Unsupported", std::string(required));
-    return transactions_.respond(now, key, response, out);
+    const StatelessResponse rejection{420, {{"Unsupported", std::string(required)}}};
+    return transactions_.respond_without_state(key, make_stateless(key, message, rejection), out);
   }
   if (message.method == "INVITE") {
     if (!in_dialog) return handle_invite(now, key, flow, message, out);
     Call* call = find(find_call_id(message));
-    return call == nullptr ? respond(now, key, 481, out) : handle_reinvite(now, key, *call, message, out);
+    return call == nullptr ? reject(key, 481, out) : handle_reinvite(now, key, *call, message, out);
   }
   if (message.method == "BYE") return handle_bye(now, key, message, out);
   if (message.method == "SUBSCRIBE") return load_control_.handle_subscribe(now, key, flow, message, out);
   if (message.method == "NOTIFY") return load_control_.handle_notify(now, key, message, out);
   if (message.method == "OPTIONS") {
-    sip::Message answer =
-        sip::answer_to(message, ready_ ? 200 : 503, sip::phrase_of(ready_ ? 200 : 503), ids_.next());
-    answer.add("Allow", std::string(kAllow));
-    answer.add("Accept", "application/sdp");
-    if (!ready_) answer.add("Retry-After", retry_after(kNotReadyRetryAfter));
-    return transactions_.respond(now, key, answer, out);
+    StatelessResponse answer{200, {{"Allow", std::string(kAllow)}, {"Accept", "application/sdp"}}};
+    if (!ready_) {
+      answer.status = 503;
+      answer.headers.emplace_back("Retry-After", retry_after(kNotReadyRetryAfter));
+    }
+    return transactions_.respond_without_state(key, make_stateless(key, message, answer), out);
   }
   const bool known = std::any_of(std::begin(kUnsupportedMethods), std::end(kUnsupportedMethods),
                                  [&](const char* name) { return message.method == name; });
   counters_.add("sip.unknown_methods");
-  respond(now, key, known ? 405 : 501, out);
+  reject(key, known ? 405 : 501, out);
+}
+
+// Rejects a request of which no state is needed: a repeat gets the same response from the message alone.
+void Sip::reject(const std::string& key, int status, Outbox& out, const std::string& warning) {
+  const sip::Message* request = transactions_.request_of(key);
+  if (request == nullptr) return;
+  StatelessResponse rejection{status, {}};
+  if (status == 405 || status == 501) rejection.headers.emplace_back("Allow", std::string(kAllow));
+  if (!warning.empty()) rejection.headers.emplace_back("Warning", "399 graniterun \"" + warning + "\"");
+  transactions_.respond_without_state(key, make_stateless(key, *request, rejection), out);
+}
+
+sip::Message Sip::make_stateless(const std::string& key, const sip::Message& request,
+                                 const StatelessResponse& rejection) {
+  sip::Message message =
+      sip::answer_to(request, rejection.status, sip::phrase_of(rejection.status), sip::stateless_tag(key));
+  for (const auto& [name, value] : rejection.headers) message.add(name, value);
+  return message;
 }
 
 void Sip::respond(Time now, const std::string& key, int status, Outbox& out, const std::string& warning) {
   const sip::Message* request = transactions_.request_of(key);
   if (request == nullptr) return;
   sip::Message message = sip::answer_to(*request, status, sip::phrase_of(status), ids_.next());
-  if (status == 405 || status == 501) message.add("Allow", std::string(kAllow));
   if (!warning.empty()) message.add("Warning", "399 graniterun \"" + warning + "\"");
   transactions_.respond(now, key, message, out);
 }
@@ -341,30 +359,28 @@
 void Sip::handle_invite(Time now, const std::string& key, const sip::Flow& flow, const sip::Message& message,
                         Outbox& out) {
   counters_.add("sip.invites");
-  while (!recent_invites_order_.empty() && (now - recent_invites_order_.front().first > 2 * sip::k64T1 ||
-                                            recent_invites_order_.size() >= kMaxCalls)) {
-    recent_invites_.erase(recent_invites_order_.front().second);
-    recent_invites_order_.pop_front();
-  }
-  // A merged request (§8.2.2.2), or a repeat after its transaction has ended, must not start a second call.
-  const std::string merge = merge_key(message);
-  if (!recent_invites_.emplace(merge, key).second) {
-    counters_.add("sip.merged");
-    return respond(now, key, 482, out);
-  }
-  recent_invites_order_.emplace_back(now, merge);
-
-  if (flow.reliable && closed_by_peer_.contains(flow.conn)) return respond(now, key, 487, out);
+  if (const StatelessResponse* rejection = rejected_invites_.find(now, key))
+    return transactions_.respond_without_state(key, make_stateless(key, message, *rejection), out);
+  if (flow.reliable && closed_by_peer_.contains(flow.conn)) return reject(key, 487, out);
   core::Request request;
   if (const std::string error = read_request(now, message, request); !error.empty()) {
     counters_.add("sip.malformed");
-    return respond(now, key, message.uri.starts_with("sip:") ? 400 : 416, out, error);
+    return reject(key, message.uri.starts_with("sip:") ? 400 : 416, out, error);
   }
+  const std::size_t bytes = size_of(message);
   const bool calls_are_ended = shutdown_ && now >= shutdown_->end_calls_at;
-  if (calls_are_ended || calls_.size() >= kMaxCalls) return reject_unavailable(now, key, message, out);
+  if (calls_are_ended || calls_.size() >= kMaxCalls || call_bytes_ + bytes > kMaxCallBytes)
+    return reject_unavailable(key, message, out);
+  // A merged request (§8.2.2.2), or a repeat after its transaction has ended, must not start a second call.
+  if (!recent_invites_.insert(now, merge_key(message))) {
+    counters_.add("sip.merged");
+    return reject(key, 482, out);
+  }
   request.call = core::call_id(core::FrontEnd::sip, ++last_call_);
   Call call;
   call.invite = key;
+  call.merge_key = merge_key(message);
+  call.bytes = bytes;
   call.offer = message.body;
   Dialog& dialog = call.dialog;
   const std::string tag = ids_.next();
@@ -379,22 +395,32 @@
   dialog.flow = flow;
   by_dialog_.emplace(dialog_key(dialog.call_id, tag, sip::parameter(dialog.remote, "tag")), request.call);
   by_invite_.emplace(key, request.call);
+  call_bytes_ += bytes;
   calls_.emplace(request.call, std::move(call));
-  transactions_.respond(now, key, sip::answer_to(message, 100, sip::phrase_of(100), {}), out);
+  new_calls_.push_back(request.call);
   out.notify_broker(core::RequestReceived{std::move(request)});
 }
 
-void Sip::reject_unavailable(Time now, const std::string& key, const sip::Message& message, Outbox& out) {
-  sip::Message response = sip::answer_to(message, 503, sip::phrase_of(503), ids_.next());
-  response.add("Retry-After", retry_after(kNotReadyRetryAfter));
-  transactions_.respond(now, key, response, out);
+void Sip::reject_unavailable(const std::string& key, const sip::Message& message, Outbox& out) {
+  const StatelessResponse rejection{503, {{"Retry-After", retry_after(kNotReadyRetryAfter)}}};
+  transactions_.respond_without_state(key, make_stateless(key, message, rejection), out);
+}
+
+void Sip::send_trying(Time now, Outbox& out) {
+  for (const CallId id : std::exchange(new_calls_, {})) {
+    Call* call = find(id);
+    const sip::Message* request = call == nullptr ? nullptr : transactions_.request_of(call->invite);
+    if (request == nullptr) continue;
+    call->trying_sent = true;
+    transactions_.respond(now, call->invite, sip::answer_to(*request, 100, sip::phrase_of(100), {}), out);
+  }
 }
 
 std::string Sip::read_request(Time now, const sip::Message& message, core::Request& request) {
   if (!message.uri.starts_with("sip:")) return "the URI's scheme is not sip";
   request.number_text = sip::user_of(message.uri);
   if (request.number_text.empty()) return "the URI names no number";
-  request.number = Number{jsonl::number_of_hex(request.number_text).value_or(hash(request.number_text))};
+  request.number = Number{jsonl::number_of_hex(request.number_text).value_or(fnv1a(request.number_text))};
   const core::Classes& classes = *settings_.classes;
   const bool emergency = sip::equals_ignore_case(message.header("Priority"), "emergency");
   const core::NamedClass* call_class = emergency ? &classes.highest_weight() : &classes.lowest_weight();
@@ -461,7 +487,7 @@
 void Sip::handle_bye(Time now, const std::string& key, const sip::Message& message, Outbox& out) {
   const CallId id = find_call_id(message);
   const Call* call = find(id);
-  if (call == nullptr) return respond(now, key, 481, out);
+  if (call == nullptr) return reject(key, 481, out);
   counters_.add("sip.byes_in");
   respond(now, key, 200, out);
   if (!call->answered) {
@@ -477,7 +503,7 @@
 
 void Sip::handle_cancel(Time now, const std::string& key, const sip::Message& message, Outbox& out) {
   const std::string invite = transactions_.find_cancelled_invite(message);
-  if (invite.empty()) return respond(now, key, 481, out);
+  if (invite.empty()) return reject(key, 481, out);
   counters_.add("sip.cancels_in");
   respond(now, key, 200, out);
   // After the final response a CANCEL has no effect: the caller acknowledges the response and sends a BYE.
@@ -538,24 +564,41 @@
 }
 
 void Sip::apply(Time now, const core::RejectRequest& effect, Outbox& out) {
-  const Call* call = find(effect.call);
+  Call* call = find(effect.call);
   if (call == nullptr) return;
   counters_.add(effect.rejected ? "sip.refusals" : "sip.failures");
-  int status = 500;
-  if (effect.rejected) status = 503;
-  if (effect.reason == core::RejectReason::number_busy) status = 486;
-  if (effect.reason == core::RejectReason::deadline_exceeded) status = 480;  // 408 cannot carry Retry-After
-  if (const sip::Message* request = transactions_.request_of(call->invite)) {
+  StatelessResponse rejection = response_to(effect);
+  if (!call->trying_sent && effect.rejected) {
+    reject_invite(now, *call, std::move(rejection), out);
+  } else if (const sip::Message* request = transactions_.request_of(call->invite)) {
     const std::string_view tag = sip::parameter(call->dialog.local, "tag");
-    sip::Message message = sip::answer_to(*request, status, sip::phrase_of(status), tag);
-    if (effect.retry_after > Duration{} || status == 503)
-      message.add("Retry-After", retry_after(effect.retry_after));
-    if (effect.reason == core::RejectReason::gapped) message.add("Reason", reason_header(effect.treatment));
+    sip::Message message = sip::answer_to(*request, rejection.status, sip::phrase_of(rejection.status), tag);
+    for (auto& [name, value] : rejection.headers) message.add(std::move(name), std::move(value));
     transactions_.respond(now, call->invite, message, out);
   }
   forget(effect.call);
 }
 
+StatelessResponse Sip::response_to(const core::RejectRequest& effect) {
+  StatelessResponse rejection{effect.rejected ? 503 : 500, {}};
+  if (effect.reason == core::RejectReason::number_busy) rejection.status = 486;
+  if (effect.reason == core::RejectReason::deadline_exceeded)
+    rejection.status = 480;  // 408 cannot carry Retry-After
+  if (effect.retry_after > Duration{} || rejection.status == 503)
+    rejection.headers.emplace_back("Retry-After", retry_after(effect.retry_after));
+  if (effect.reason == core::RejectReason::gapped)
+    rejection.headers.emplace_back("Reason", reason_header(effect.treatment));
+  return rejection;
+}
+
+// Rejects an INVITE in the step of its arrival: it has become no call, and no state but the response is kept.
+void Sip::reject_invite(Time now, Call& call, StatelessResponse rejection, Outbox& out) {
+  if (const sip::Message* request = transactions_.request_of(call.invite))
+    transactions_.respond_without_state(call.invite, make_stateless(call.invite, *request, rejection), out);
+  rejected_invites_.insert(now, call.invite, std::move(rejection));
+  recent_invites_.erase(call.merge_key);
+}
+
 void Sip::apply(Time now, const core::ReleaseCaller& effect, Outbox& out) {
   Call* call = find(effect.call);
   if (call == nullptr) return;
@@ -616,6 +659,7 @@
   by_dialog_.erase(
       dialog_key(dialog.call_id, sip::parameter(dialog.local, "tag"), sip::parameter(dialog.remote, "tag")));
   by_invite_.erase(it->second.invite);
+  call_bytes_ -= it->second.bytes;
   calls_.erase(it);
 }
 
--- a/src/downstream/sip.h
+++ b/src/downstream/sip.h
@@ -4,7 +4,6 @@
 // front end.
 #pragma once
 
-#include <deque>
 #include <map>
 #include <set>
 #include <string>
@@ -15,8 +14,10 @@
 #include "core/classes.h"
 #include "core/counters.h"
 #include "core/random_id.h"
+#include "core/recent_ids.h"
 #include "downstream/connection_reaper.h"
 #include "downstream/load_control.h"
+#include "downstream/rejected_invites.h"
 #include "downstream/unconfirmed_byes.h"
 #include "net/outbox.h"
 #include "sip/transactions.h"
@@ -74,6 +75,10 @@
   // Connects the gap register, which subscribed neighbours are notified of and may announce gaps to.
   void share_gaps(GapSource source) { load_control_.set_gap_source(std::move(source)); }
 
+  // Called at the end of a step: sends 100 for the INVITEs that have no response yet. One that is rejected in
+  // the step of its arrival gets no 100, so that its caller repeats it where the rejection is lost (§8.2.7).
+  void send_trying(Time now, Outbox& out);
+
   void apply(Time now, const core::AnswerCaller& effect, Outbox& out);
   void apply(Time now, const core::RejectRequest& effect, Outbox& out);
   void apply(Time now, const core::ReleaseCaller& effect, Outbox& out);
@@ -90,7 +95,10 @@
     sip::Flow flow{};
   };
   struct Call {
-    std::string invite{};  // key of its INVITE transaction
+    std::string invite{};     // key of its INVITE transaction
+    std::string merge_key{};  // in recent_invites_
+    std::size_t bytes{};      // of its INVITE
+    bool trying_sent = false;
     Dialog dialog{};
     bool answered = false;
     bool acknowledged = false;
@@ -111,9 +119,14 @@
   void handle_bye(Time now, const std::string& key, const sip::Message& message, Outbox& out);
   void handle_cancel(Time now, const std::string& key, const sip::Message& message, Outbox& out);
   void respond(Time now, const std::string& key, int status, Outbox& out, const std::string& warning = {});
+  void reject(const std::string& key, int status, Outbox& out, const std::string& warning = {});
+  void reject_invite(Time now, Call& call, StatelessResponse rejection, Outbox& out);
+  static sip::Message make_stateless(const std::string& key, const sip::Message& request,
+                                     const StatelessResponse& rejection);
+  static StatelessResponse response_to(const core::RejectRequest& effect);
   void reject_malformed(Time now, const sip::Incoming& incoming, Outbox& out);
   void make_room(Time now, Outbox& out);
-  void reject_unavailable(Time now, const std::string& key, const sip::Message& message, Outbox& out);
+  void reject_unavailable(const std::string& key, const sip::Message& message, Outbox& out);
   void cancel_unanswered(Time now, std::uint32_t conn, Outbox& out);
   std::string read_request(Time now, const sip::Message& message, core::Request& request);
   sip::Message make_ok(const Call& call, const sip::Message& request) const;
@@ -138,10 +151,10 @@
   std::unordered_map<CallId, Call> calls_;
   std::map<std::string, CallId> by_invite_;  // by key of the INVITE transaction
   std::map<std::string, CallId> by_dialog_;  // by Call-ID, local tag and remote tag
-  // INVITEs of the last 2 * 64 T1 by Call-ID, From tag and CSeq, to detect merged requests (§8.2.2.2), and
-  // the same keys in the order of receipt.
-  std::map<std::string, std::string> recent_invites_;
-  std::deque<std::pair<Time, std::string>> recent_invites_order_;
+  RecentIds recent_invites_;  // merge keys: Call-ID, From tag and CSeq, to detect merged requests (§8.2.2.2)
+  RejectedInvites rejected_invites_{sip::k64T1};
+  std::vector<CallId> new_calls_;           // of the current step
+  std::size_t call_bytes_ = 0;              // sum of Call::bytes
   std::set<std::uint32_t> closed_by_peer_;  // TCP connections that the peer has half-closed
   std::uint64_t last_call_ = 0;
   RandomIdGenerator ids_;
--- a/src/gatekeeper/gatekeeper.cpp
+++ b/src/gatekeeper/gatekeeper.cpp
@@ -232,6 +232,7 @@
         event);
   }
   drain_broker_events(now, out);
+  sip_.send_trying(now, out);
   const bool is_ready = ready(now);
   if (is_ready && !listening_ && !stop_requested_at_) listen(out);
   platform_.set_ready(is_ready);
--- a/src/sip/transactions.cpp
+++ b/src/sip/transactions.cpp
@@ -2,10 +2,17 @@
 
 #include <algorithm>
 
+#include "codec/fnv1a.h"
+
 namespace graniterun::sip {
 namespace {
 
-constexpr std::size_t kMaxServerTransactions = 20000;
+// Bound on all server transactions. The transaction user answers each request at once, except for INVITEs
+// that become calls, which have a bound of their own: it is not reached.
+constexpr std::size_t kMaxServerTransactions = 50000;
+// Bounds on the finished server transactions that are retained to absorb repeats.
+constexpr std::size_t kMaxFinishedTransactions = 20000;
+constexpr std::size_t kMaxFinishedBytes = std::size_t{16} * 1024 * 1024;
 
 std::string_view top_via(const Message& message) {
   const std::string_view via = message.header("Via");
@@ -106,6 +113,8 @@
   return message;
 }
 
+std::string stateless_tag(std::string_view key) { return "r" + std::to_string(fnv1a(key)); }
+
 // ---- timers
 
 void Transactions::arm(Time now, bool server, const std::string& key, Transaction& transaction, Kind kind,
@@ -138,6 +147,13 @@
   return {std::move(*expiry)};
 }
 
+void Transactions::disarm(Transaction& transaction, Kind kind) {
+  const auto armed = transaction.timers.find(kind);
+  if (armed == transaction.timers.end()) return;
+  timers_.erase(armed->second);
+  transaction.timers.erase(armed);
+}
+
 // Whether the timer is the last one armed of its kind; earlier ones are ignored.
 bool Transactions::is_armed(const Transaction& transaction, Kind kind, std::uint64_t number) {
   const auto armed = transaction.timers.find(kind);
@@ -154,7 +170,7 @@
       retransmit(now, true, timer.key, server, out);
     return std::nullopt;
   }
-  servers_.erase(found);  // timers H, I, J, L
+  forget_server(found);  // timers H, I, J, L
   if (timer.kind != Kind::timeout) return std::nullopt;
   return TimerExpiry{TimerExpiry::Kind::no_ack, timer.key};  // timer H
 }
@@ -189,8 +205,8 @@
     Server& server = it->second;
     if (server.state == State::completed) {
       server.state = State::confirmed;
-      server.timers.erase(Kind::retransmit);
-      server.timers.erase(Kind::timeout);
+      disarm(server, Kind::retransmit);
+      disarm(server, Kind::timeout);
       arm(now, true, key, server, Kind::end, server.flow.reliable ? Duration{} : kT4, out);  // timer I
     }
     return RequestKind::absorbed;
@@ -203,7 +219,7 @@
       transport_.send(server.flow, server.sent, out);
     return RequestKind::absorbed;
   }
-  if (servers_.size() >= kMaxServerTransactions) {  // dropped: the caller repeats it or tries elsewhere
+  if (servers_.size() >= kMaxServerTransactions) {
     counters_.add("sip.requests_dropped");
     return RequestKind::absorbed;
   }
@@ -227,10 +243,11 @@
     return;
   }
   server.final_sent = true;
+  server.request = {};
   if (!server.invite) {
     server.state = State::completed;
     arm(now, true, key, server, Kind::end, server.flow.reliable ? Duration{} : k64T1, out);  // timer J
-    return;
+    return retain_finished(it);
   }
   server.retransmit_interval = kT1;
   if (answer.status < 300) {
@@ -243,6 +260,36 @@
       arm(now, true, key, server, Kind::retransmit, server.retransmit_interval, out);  // timer G
   }
   arm(now, true, key, server, Kind::timeout, k64T1, out);  // timer H
+  // A 2xx without an ACK is retransmitted: its transaction belongs to a call until then.
+  if (answer.status >= 300) retain_finished(it);
+}
+
+void Transactions::respond_without_state(const std::string& key, const Message& answer, Outbox& out) {
+  const auto it = servers_.find(key);
+  if (it == servers_.end() || it->second.final_sent) return;
+  counters_.add("sip.answered_without_state");
+  transport_.send(it->second.flow, answer.text(), out);
+  forget_server(it);
+}
+
+// Puts a transaction that only absorbs repeats behind the others, and forgets the first ones beyond the
+// bounds.
+void Transactions::retain_finished(Servers::iterator server) {
+  Server& finished = server->second;
+  finished.finished_number = ++last_finished_;
+  finished.finished_bytes = 2 * server->first.size() + finished.sent.size();
+  finished_.emplace(finished.finished_number, server->first);
+  finished_bytes_ += finished.finished_bytes;
+  while (finished_.size() > kMaxFinishedTransactions || finished_bytes_ > kMaxFinishedBytes) {
+    counters_.add("sip.transactions_forgotten_early");
+    forget_server(servers_.find(finished_.begin()->second));
+  }
+}
+
+void Transactions::forget_server(Servers::iterator server) {
+  for (const auto& [kind, number] : server->second.timers) timers_.erase(number);
+  if (finished_.erase(server->second.finished_number) > 0) finished_bytes_ -= server->second.finished_bytes;
+  servers_.erase(server);
 }
 
 void Transactions::handle_ack_to_2xx(Time now, const std::string& key, Outbox& out) {
@@ -250,9 +297,10 @@
   if (it == servers_.end() || it->second.state != State::accepted) return;
   Server& server = it->second;
   if (!server.timers.contains(Kind::timeout)) return;  // acknowledged before
-  server.timers.erase(Kind::retransmit);
-  server.timers.erase(Kind::timeout);
+  disarm(server, Kind::retransmit);
+  disarm(server, Kind::timeout);
   arm(now, true, key, server, Kind::end, k64T1, out);  // timer L
+  retain_finished(it);
 }
 
 const Message* Transactions::request_of(const std::string& key) const {
@@ -260,11 +308,6 @@
   return it == servers_.end() ? nullptr : &it->second.request;
 }
 
-const Flow* Transactions::flow_of(const std::string& key) const {
-  const auto it = servers_.find(key);
-  return it == servers_.end() ? nullptr : &it->second.flow;
-}
-
 bool Transactions::has_final(const std::string& key) const {
   const auto it = servers_.find(key);
   return it != servers_.end() && it->second.final_sent;
--- a/src/sip/transactions.h
+++ b/src/sip/transactions.h
@@ -39,17 +39,21 @@
       : concern_(concern), transport_(transport), counters_(counters) {}
 
   // ---- server side
-  // initial: creates a transaction; absorbed: a repeat, or dropped at the bound; ack: to a 2xx, for the
-  // dialog.
+  // initial: creates a transaction; absorbed: a repeat; ack: to a 2xx, for the dialog, or to a rejection of
+  // which no state is kept.
   enum class RequestKind { initial, absorbed, ack };
   // Handles a received request and sets `key` to the key of its transaction.
   RequestKind receive_request(Time now, const Flow& flow, const Message& request, std::string& key,
                               Outbox& out);
   void respond(Time now, const std::string& key, const Message& answer, Outbox& out);
+  // Sends a final response and forgets the transaction at once (§8.2.7): for requests whose repeat gets the
+  // same response from the message alone, so that a flood of them takes no room. `answer` must have the same
+  // To tag each time (see stateless_tag), and no provisional response may have been sent: its caller would
+  // not repeat an INVITE whose rejection is lost.
+  void respond_without_state(const std::string& key, const Message& answer, Outbox& out);
   // Called for the ACK to the transaction's 2xx: stops its retransmission.
   void handle_ack_to_2xx(Time now, const std::string& key, Outbox& out);
   const Message* request_of(const std::string& key) const;
-  const Flow* flow_of(const std::string& key) const;
   bool has_final(const std::string& key) const;
   // Key of the INVITE transaction that a CANCEL matches (§9.2); empty where there is none.
   std::string find_cancelled_invite(const Message& cancel) const;
@@ -86,8 +90,10 @@
     std::map<Kind, std::uint64_t> timers{};
   };
   struct Server : Transaction {
-    Message request{};
+    Message request{};  // until the final response
     bool final_sent = false;
+    std::uint64_t finished_number = 0;  // in finished_; 0: it is not there
+    std::size_t finished_bytes = 0;
   };
   struct Client : Transaction {
     Message request{};
@@ -101,7 +107,11 @@
   void arm(Time now, bool server, const std::string& key, Transaction& transaction, Kind kind, Duration after,
            Outbox& out);
   void retransmit(Time now, bool server, const std::string& key, Transaction& transaction, Outbox& out);
+  void disarm(Transaction& transaction, Kind kind);
   static bool is_armed(const Transaction& transaction, Kind kind, std::uint64_t number);
+  using Servers = std::map<std::string, Server>;
+  void retain_finished(Servers::iterator server);
+  void forget_server(Servers::iterator server);
   std::optional<TimerExpiry> server_timer_fired(Time now, std::uint64_t number, const Timer& timer,
                                                 Outbox& out);
   std::optional<TimerExpiry> client_timer_fired(Time now, std::uint64_t number, const Timer& timer,
@@ -111,12 +121,20 @@
   net::Concern concern_;
   Transport& transport_;
   Counters& counters_;
-  std::map<std::string, Server> servers_;
+  Servers servers_;
+  // Server transactions that only absorb repeats, in the order of their ends: the first are forgotten early
+  // beyond the bounds on their number and size.
+  std::map<std::uint64_t, std::string> finished_;
+  std::uint64_t last_finished_ = 0;
+  std::size_t finished_bytes_ = 0;
   std::map<std::string, Client> clients_;
   std::map<std::uint64_t, Timer> timers_;
   std::uint64_t last_timer_ = 0;
 };
 
+// The To tag of a response without state: the same one for each repeat of the request with this transaction
+// key (§8.2.7).
+std::string stateless_tag(std::string_view key);
 // A response to a request with the headers that it copies from it (§8.2.6). `tag` is added to a To without
 // tag, except in a 100.
 Message answer_to(const Message& request, int status, std::string_view phrase, std::string_view tag);
--- a/src/upstream/sip_trunk.cpp
+++ b/src/upstream/sip_trunk.cpp
@@ -481,21 +481,26 @@
     transactions_.respond(now, key, sip::answer_to(message, status, sip::phrase_of(status), ids_.next()),
                           out);
   };
+  // For requests that change nothing here: a repeat gets the same response without a transaction.
+  const auto respond_without_state = [&](int status) {
+    transactions_.respond_without_state(
+        key, sip::answer_to(message, status, sip::phrase_of(status), sip::stateless_tag(key)), out);
+  };
   UpstreamAttempt* attempt = find_attempt(message.header("Call-ID"));
   const bool in_known_dialog =
       attempt != nullptr &&
       sip::parameter(message.header("To"), "tag") == sip::parameter(attempt->invite.header("From"), "tag");
   if (in_known_dialog) watch_.confirmed(now, attempt->server, std::string(message.header("Call-ID")));
-  if (message.method == "OPTIONS") return respond(200);
-  if (message.method == "CANCEL") return respond(481);
+  if (message.method == "OPTIONS") return respond_without_state(200);
+  if (message.method == "CANCEL") return respond_without_state(481);
   if (!in_known_dialog) {
     if (const std::string former_call = find_former_call(message); !former_call.empty()) {
       respond(200);
       return release_former_call(now, former_call, message, out);
     }
-    return respond(sip::parameter(message.header("To"), "tag").empty() ? 405 : 481);
+    return respond_without_state(sip::parameter(message.header("To"), "tag").empty() ? 405 : 481);
   }
-  if (message.method != "BYE") return respond(message.method == "INVITE" ? 488 : 501);
+  if (message.method != "BYE") return respond_without_state(message.method == "INVITE" ? 488 : 501);
   respond(200);
   counters_.add("trunk.byes_in");
   log_message(now, "bye_received", *attempt, message, out);
