OTLP: the two draws of a trace id are ordered by the code (golden on arm64)

Cause: ids_.next() + ids_.next() leaves the order of the draws to the compiler; GCC takes the right one first on x86-64 and the left one first on arm64. Change: the low half is drawn first, as recorded. The recorded file otlp_export.txt is unchanged.

--- a/src/otlp/exporter.cpp
+++ b/src/otlp/exporter.cpp
@@ -51,7 +51,8 @@
     counters_.add("otlp.spans_dropped");
     return;
   }
-  const std::string trace = ids_.next() + ids_.next();
+  const std::string trace_low = ids_.next();
+  const std::string trace = ids_.next() + trace_low;
   const std::string root = ids_.next();
   json request = {{"traceId", trace},
                   {"spanId", root},
