--- a/src/core/broker.cpp
+++ b/src/core/broker.cpp
@@ -12,9 +12,10 @@
 constexpr Duration kGuardMargin = 30ms;
 // Minimum number of sends that one gatekeeper may make to a server in slow start within an overload window.
 constexpr double kMinSlowStartSends = 4.0;
-// Maximum number of release guards kept for finished calls. Reaching it takes tens of thousands of calls per
-// second.
-constexpr std::size_t kMaxReleaseGuards = 16384;
+// How long, and for how many of the last calls, a correlation id that comes again is recognized. Callers give
+// every request a new id.
+constexpr Duration kAttemptedIdRetention = 60s;
+constexpr std::size_t kMaxAttemptedIds = 32768;
 // Retry-after of a request that fails without one from the Controller, limited by the settings' maximum.
 constexpr Duration kDefaultRetryAfter = 500ms;
 
@@ -23,6 +24,11 @@
   return outcome == Outcome::timed_out || outcome == Outcome::reset || outcome == Outcome::cancelled;
 }
 
+// Whether the server may have run an attempt that ended so.
+bool may_have_run(Outcome outcome) {
+  return outcome != Outcome::not_sent && outcome != Outcome::no_connection && outcome != Outcome::full;
+}
+
 }  // namespace
 
 Broker::Broker(const Settings& settings, std::uint64_t seed, Contracts contracts, Counters& counters,
@@ -47,13 +53,15 @@
       contracts_(std::move(contracts)),
       counters_(counters),
       decide_(std::move(decide)),
-      admission_check_(std::move(admission_check)) {}
+      admission_check_(std::move(admission_check)),
+      attempted_ids_(kAttemptedIdRetention, kMaxAttemptedIds) {}
 
 void Broker::step(Time now, const Event& event, Effects& effects) {
   now_ = std::max(now, now_);
   effects_ = &effects;
   std::visit([this](const auto& alternative) { on(alternative); }, event);
   drain_controller_events();
+  fail_repeated_requests();
   effects_ = nullptr;
 }
 
@@ -67,26 +75,30 @@
   call.received_at = now_;
   call.deadline = event.request.deadline;
   call.max_attempts = settings_.max_attempts;
-  // A correlation id may come again shortly after its call ended, when the caller closed and reconnected.
-  // Servers treat both as the same call.
-  if (const auto guard = guards_.find(event.request.correlation_id); guard != guards_.end())
-    call.guard_until = guard->second;
+  // A correlation id may come again after its call ended, when the caller closed and reconnected. Servers
+  // treat both as the same call: it is attempted only if no attempt of the earlier one may have run.
+  bool is_repeated = attempted_ids_.contains(now_, event.request.correlation_id);
   if (const auto existing = by_correlation_id_.find(event.request.correlation_id);
       existing != by_correlation_id_.end()) {
     Call& earlier = calls_.at(existing->second);
-    call.guard_until = std::max(call.guard_until, earlier.guard_until);
-    if (earlier.current_attempt && earlier.current_attempt->sent) {
+    is_repeated = is_repeated || earlier.may_have_run ||
+                  (earlier.current_attempt && earlier.current_attempt->established);
+    if (!is_repeated && earlier.current_attempt && earlier.current_attempt->sent) {
       call.predecessor = existing->second;
       earlier.successor = event.request.call;
     }
   }
-  by_correlation_id_.insert_or_assign(event.request.correlation_id, event.request.call);
+  if (!is_repeated) by_correlation_id_.insert_or_assign(event.request.correlation_id, event.request.call);
   ++unanswered_;
   const auto answer_without_call = [&](bool rejected, RejectReason reason, Duration retry_after,
                                        call_gapping::GapTreatment treatment = {}) {
     answer_request(call, false, rejected, reason, retry_after, {}, std::move(treatment));
     erase_if_finished(event.request.call);
   };
+  if (is_repeated) {
+    counters_.add("broker.repeated_ids");
+    return answer_without_call(false, RejectReason::repeated_id, default_retry_after());
+  }
   // Call gaps are checked before the budget, so that a gapped call does not consume its team's budget. A gap
   // slot used by a call is not returned if the call fails later, since a second call would then pass in the
   // same interval.
@@ -205,15 +217,32 @@
 
 void Broker::record_attempt_end(Call& call, Outcome outcome) {
   if (requires_release_guard(outcome)) call.guard_until = now_ + settings_.release_guard + kGuardMargin;
+  call.may_have_run = call.may_have_run || may_have_run(outcome);
   if (!call.successor) return;
+  if (call.may_have_run) return repeated_requests_.push_back(*std::exchange(call.successor, std::nullopt));
   Call* next = find(*std::exchange(call.successor, std::nullopt));
   if (next == nullptr) return;
   next->predecessor.reset();
-  next->guard_until = std::max(next->guard_until, call.guard_until);
   if (next->current_attempt && !next->current_attempt->sent)
     arm_timer(std::max(next->guard_until, now_), {PendingTimer::Kind::guard, next->request->call, {}});
 }
 
+// Fails the requests whose correlation id is that of an earlier call which may have run, as has now turned
+// out.
+void Broker::fail_repeated_requests() {
+  while (!repeated_requests_.empty()) {
+    const CallId id = repeated_requests_.back();
+    repeated_requests_.pop_back();
+    Call* call = find(id);
+    if (call == nullptr || call->answered) continue;
+    counters_.add("broker.repeated_ids");
+    answer_request(*call, false, false, RejectReason::repeated_id, default_retry_after(), {});
+    notify_controller(CallerDisconnected{id});
+    drain_controller_events();
+    erase_if_finished(id);
+  }
+}
+
 // Handles the release of a call whose attempt has already ended here. An unresponsive connection drops its
 // attempts; one of them may have been established and ended at the server, whose release then arrives on the
 // next connection while the call waits here for the release guard or the Controller. Forwarding that release
@@ -515,23 +544,10 @@
   if (it == calls_.end() || !it->second.answered || it->second.current_attempt) return;
   const auto entry = by_correlation_id_.find(it->second.request->correlation_id);
   if (entry != by_correlation_id_.end() && entry->second == id) by_correlation_id_.erase(entry);
-  retain_release_guard(it->second);
+  if (it->second.may_have_run) attempted_ids_.insert(now_, it->second.request->correlation_id);
   calls_.erase(it);
 }
 
-// Keeps the release guard of a finished call, since its correlation id may come again.
-void Broker::retain_release_guard(const Call& call) {
-  while (!guards_by_time_.empty() &&
-         (guards_by_time_.front().first <= now_ || guards_by_time_.size() >= kMaxReleaseGuards)) {
-    const auto oldest = guards_.find(guards_by_time_.front().second);
-    if (oldest != guards_.end() && oldest->second <= guards_by_time_.front().first) guards_.erase(oldest);
-    guards_by_time_.pop_front();
-  }
-  if (call.guard_until <= now_) return;
-  guards_.insert_or_assign(call.request->correlation_id, call.guard_until);
-  guards_by_time_.emplace_back(call.guard_until, call.request->correlation_id);
-}
-
 void Broker::arm_timer(Time at, PendingTimer timer) {
   timers_.emplace(++last_timer_, timer);
   emit(ArmTimer{at, last_timer_});
--- a/src/core/broker.h
+++ b/src/core/broker.h
@@ -18,6 +18,7 @@
 #include "call_gapping/gap_register.h"
 #include "core/contracts.h"
 #include "core/counters.h"
+#include "core/recent_ids.h"
 #include "core/request_metrics.h"
 #include "graniterun/controller.h"
 
@@ -61,7 +62,8 @@
   late_success,
   shutting_down,
   cut,
-  ended
+  ended,
+  repeated_id  // an attempt of an earlier request with the same correlation id may have run
 };
 
 // ---- Events
@@ -235,11 +237,13 @@
     int max_attempts{};
     int attempts = 0;
     std::optional<Attempt> current_attempt{};
+    bool may_have_run = false;  // an attempt went out, and nothing proves that its server did not run it
     bool answered = false;
     bool rejected = false;
     Time guard_until{};
     // An earlier call with the same correlation id whose attempt is still outstanding. No attempt of this
-    // call starts before that attempt has ended and its release guard has passed.
+    // call starts before that attempt has ended; unless it is proven then that the server did not run it,
+    // this call fails.
     std::optional<CallId> predecessor{};
     std::optional<CallId> successor{};
     std::vector<AttemptRecord> attempt_records{};
@@ -286,7 +290,7 @@
   void start_attempt(Call& call);
   void abandon_attempt(Call& call);
   void record_attempt_end(Call& call, Outcome outcome);
-  void retain_release_guard(const Call& call);
+  void fail_repeated_requests();
   void report_not_sent(Call& call, int index, ServerId server);
   bool may_send(ServerId server, std::string_view& barred_counter);
   void trim_window(std::deque<Time>& times) const;
@@ -312,9 +316,9 @@
   Effects* effects_ = nullptr;
   std::unordered_map<CallId, Call> calls_;
   std::unordered_map<std::string, CallId> by_correlation_id_;  // the newest call of each id
-  // End of the release guard of finished calls, by correlation id.
-  std::unordered_map<std::string, Time> guards_;
-  std::deque<std::pair<Time, std::string>> guards_by_time_;
+  // Correlation ids of finished calls that may have run: a request with one of them is not attempted.
+  RecentIds attempted_ids_;
+  std::vector<CallId> repeated_requests_;  // to fail at the end of the step
   std::map<ServerId, Server> servers_;
   std::unordered_map<std::uint64_t, PendingTimer> timers_;
   std::uint64_t last_timer_ = 0;
--- a/src/core/names.h
+++ b/src/core/names.h
@@ -9,10 +9,10 @@
 namespace graniterun::core {
 
 inline std::string_view to_string(RejectReason reason) {
-  constexpr std::array<std::string_view, 10> kNames = {
-      "gapped",     "throttled", "over_budget",   "overdue", "number_busy",
-      "no_success", "crossed",   "shutting_down", "cut",     "ended"};
-  static_assert(kNames.size() == static_cast<std::size_t>(RejectReason::ended) + 1);
+  constexpr std::array<std::string_view, 11> kNames = {
+      "gapped",  "throttled",     "over_budget", "overdue", "number_busy", "no_success",
+      "crossed", "shutting_down", "cut",         "ended",   "repeated_id"};
+  static_assert(kNames.size() == static_cast<std::size_t>(RejectReason::repeated_id) + 1);
   return kNames[static_cast<std::size_t>(reason)];
 }
 
--- a/tests/crossings_test.cpp
+++ b/tests/crossings_test.cpp
@@ -249,10 +249,21 @@
 
 // ---- Closes and requests
 
-// Guards against two attempts of one call at a time: the caller's connection closes and its setup is repeated
-// at once on another one. The server sees the same call, so the first attempt must end and the release guard
-// pass first.
-void setup_repeated_after_close_waits_for_release_guard() {
+// Checks that the setup on `conn` got one final answer, failed, and that no INVITE follows.
+void check_failed_without_an_attempt(ConnectedLab& lab, ConnId conn) {
+  const std::vector<jsonl::Message> lines = lab.lines(conn);
+  CHECK_EQ(lines.size(), 1U);
+  CHECK_EQ(lines[0].type, "release");
+  CHECK_EQ(lines[0].id, kId);
+  CHECK_EQ(lines[0].cause.value_or(0), 41);  // not one by which trying again is harmless
+  lab.advance(9s);
+  CHECK_EQ(count_invites(lab, lab.s0), 0U);
+  CHECK(lab.lines(conn).empty());
+}
+
+// Guards against a call that runs twice under one id: its caller closes while its attempt is out and repeats
+// the setup at once on another connection (picture (c) of issue 59). The server may have run the first.
+void setup_repeated_after_close_is_not_attempted_again() {
   ConnectedLab lab(1);
   const ConnId other{Concern::platform, 2};
   lab.deliver(net::Accepted{other});
@@ -265,37 +276,68 @@
   CHECK(lab.messages(lab.s0).empty());
   lab.receive(lab.s0, server_answer(first, 487));
   lab.messages(lab.s0);  // the ACK
-  lab.advance(190ms);
-  CHECK_EQ(count_invites(lab, lab.s0), 0U);
-  lab.advance(60ms);
-  CHECK_EQ(count_invites(lab, lab.s0), 1U);
+  check_failed_without_an_attempt(lab, other);
+}
+
+// The same when the first call has ended: given up by its caller, by its deadline, by a fault of its server,
+// or released after it stood.
+void id_of_a_former_call_is_not_attempted_again() {
+  const auto repeat = [](ConnectedLab& lab) {
+    lab.messages(lab.s0);
+    lab.lines(kCaller);
+    lab.receive(kCaller, setup_line_with_key(kId, 3000));
+    check_failed_without_an_attempt(lab, kCaller);
+  };
+  ConnectedLab given_up(1);
+  given_up.receive(kCaller, setup_line_with_key(kId, 5000));
+  const sip::Message first = given_up.invite(given_up.s0);
+  given_up.receive(kCaller, release_line(kId));
+  given_up.receive(given_up.s0, server_answer(first, 487));
+  repeat(given_up);
+  ConnectedLab late(1);
+  late.receive(kCaller, setup_line_with_key(kId, 50));
+  late.advance(51ms);
+  repeat(late);
+  ConnectedLab faulty(1);
+  faulty.receive(kCaller, setup_line_with_key(kId, 200));
+  faulty.receive(faulty.s0, server_answer(faulty.invite(faulty.s0), 500));
+  faulty.advance(300ms);
+  repeat(faulty);
+  ConnectedLab over(1);
+  over.receive(kCaller, setup_line_with_key(kId, 3000));
+  over.receive(over.s0, server_answer(over.invite(over.s0), 200, "a"));
+  over.receive(over.s0, server_bye(kId, 16));
+  repeat(over);
 }
 
-// The release guard also holds after the first call has ended, since it is retained by call id.
-void reused_id_waits_for_release_guard_of_former_call() {
+// A setup whose attempt never left is served when it comes again: its INVITE was withdrawn unwritten.
+void repeated_setup_that_never_left_is_served() {
   ConnectedLab lab(1);
+  const ConnId other{Concern::platform, 2};
+  lab.deliver(net::Accepted{other});
+  lab.unwritten.insert(lab.s0);
   lab.receive(kCaller, setup_line_with_key(kId, 5000));
-  const sip::Message first = lab.invite(lab.s0);
-  lab.receive(kCaller, release_line(kId));
-  lab.messages(lab.s0);
-  lab.receive(lab.s0, server_answer(first, 487));
+  lab.take_sent(lab.s0);
+  lab.deliver(net::Closed{kCaller, false});
+  lab.unwritten.clear();
+  lab.receive(other, setup_line_with_key(kId, 4990));
+  lab.advance(300ms);
+  CHECK_EQ(count_invites(lab, lab.s0), 1U);
+}
+
+// A setup that no server has run is served when it comes again: 503 says that it never ran.
+void repeated_setup_that_never_ran_is_served() {
+  ConnectedLab lab(1);
+  lab.receive(kCaller, setup_line_with_key(kId, 100));
+  lab.receive(lab.s0, server_answer(lab.invite(lab.s0), 503));
+  lab.advance(200ms);
+  CHECK_EQ(lab.lines(kCaller).size(), 1U);
+  lab.advance(3s);
+  lab.receive(lab.s0, server_report());
   lab.messages(lab.s0);
-  lab.receive(kCaller, setup_line_with_key(kId, 5000));
-  lab.advance(190ms);
-  CHECK_EQ(count_invites(lab, lab.s0), 0U);
-  lab.advance(60ms);
+  lab.receive(kCaller, setup_line_with_key(kId, 3000));
+  lab.advance(500ms);
   CHECK_EQ(count_invites(lab, lab.s0), 1U);
-  // The same after an end by the deadline.
-  ConnectedLab late(1);
-  late.receive(kCaller, setup_line_with_key(kId, 50));
-  CHECK_EQ(count_invites(late, late.s0), 1U);
-  late.advance(51ms);
-  CHECK_EQ(late.messages(late.s0).at(0).method, "CANCEL");
-  late.receive(kCaller, setup_line_with_key(kId, 3000));
-  late.advance(190ms);
-  CHECK_EQ(count_invites(late, late.s0), 0U);
-  late.advance(60ms);
-  CHECK_EQ(count_invites(late, late.s0), 1U);
 }
 
 // Idle callers are closed by an effect that makes the runtime check for unread input first.
@@ -623,8 +665,10 @@
   every_request_gets_one_final_answer_despite_faults();
   no_attempt_starts_after_caller_leaves_while_waiting();
   unwritten_invite_is_withdrawn();
-  setup_repeated_after_close_waits_for_release_guard();
-  reused_id_waits_for_release_guard_of_former_call();
+  setup_repeated_after_close_is_not_attempted_again();
+  id_of_a_former_call_is_not_attempted_again();
+  repeated_setup_that_never_left_is_served();
+  repeated_setup_that_never_ran_is_served();
   idle_caller_is_closed_only_without_unread_input();
   caller_with_open_setup_is_not_closed_for_room();
   descriptor_shortage_is_not_taken_for_server_death();
