--- a/src/upstream/setup_servers.cpp
+++ b/src/upstream/setup_servers.cpp
@@ -647,7 +647,10 @@
   end_calls_if(now, server, out, [&](const UpstreamAttempt& attempt) {
     const auto connection = connections_.find(attempt.conn);
     if (connection == connections_.end()) return true;
-    return is_stale(now - connection->second.calls_served_at.value_or(attempt.state_since));
+    // The establishment of the call is evidence as well, whatever came on its connection before.
+    const Time newest_evidence =
+        std::max(attempt.state_since, connection->second.calls_served_at.value_or(attempt.state_since));
+    return is_stale(now - newest_evidence);
   });
   if (server.established_calls == calls_before) return;
   counters_.add("servers.vanished");
